--- /dev/null
+++ b/adapter/src/settings.rs
@@ -0,0 +1,144 @@
+//! The settings object as a flat map from names in the project's words to values. Renaming only.
+
+use std::time::Duration;
+
+use quillpoint::host::{Value, ValueMap};
+use serde_json::Value as Json;
+
+use crate::Fault;
+
+/// The wire's word for a part of a name, and ours. A key that is not here is skipped.
+const NAMES: &[(&str, &str)] = &[
+    ("AimStretch", "soft_deadline_per_work"),
+    ("Allowed", "allowed"),
+    ("AnswerSlackMs", "answer_slack"),
+    ("AskEveryMs", "ask_every"),
+    ("Balancers", "routers"),
+    ("Cancelling", "cancel"),
+    ("CatchUpWaitMs", "catch_up_wait"),
+    ("Checks", "read_check"),
+    ("ClassBoundMs", "bound"),
+    ("Classes", "methods"),
+    ("Clients", "clients"),
+    ("ColdFrom", "cold_from"),
+    ("ColdMs", "cold_time"),
+    ("CommitWaits", "commit_waits"),
+    ("ConnIdleMs", "idle_connection"),
+    ("ConnectTimeoutMs", "connect_time_out"),
+    ("Connection", "connection"),
+    ("CpuUsPerRequest", "cpu_per_rpc"),
+    ("CpuUsPerS", "cpu_per_second"),
+    ("CrossZone", "cross_zone"),
+    ("Discovery", "discovery"),
+    ("DrainGraceMs", "drain_grace"),
+    ("DroppedStayOpen", "only_listed_drains"),
+    ("Extra", "replication"),
+    ("FailureDomains", "zones"),
+    ("FallMultiple", "fall_multiple"),
+    ("Feedback", "reports"),
+    ("Fields", "fields"),
+    ("Fraction", "share"),
+    ("GiveUpMs", "deadline"),
+    ("Goal", "goal"),
+    ("GoalTimeMs", "soft_deadline"),
+    ("Group", "repeat_group"),
+    ("Handshake", "handshake"),
+    ("Invariants", "rules"),
+    ("LateFail", "late_abort"),
+    ("LateValue", "late_utility"),
+    ("MarksRetry", "mark_retries"),
+    ("MaxAttempts", "call_outs"),
+    ("MaxRetryAfterMs", "longest_retry_after"),
+    ("MayDuplicate", "second_copies"),
+    ("MostHeld", "held"),
+    ("Multiplex", "streams"),
+    ("MyZone", "zone"),
+    ("Name", "name"),
+    ("NeedsByClass", "needs"),
+    ("OriginTimeMs", "origin"),
+    ("OverShareWorth", "over_share_utility"),
+    ("OverloadForMs", "overload_time"),
+    ("Probe", "probe"),
+    ("Probes", "probes"),
+    ("QuotaRps", "quota"),
+    ("Rank", "rank"),
+    ("RetryAfter", "retry_after"),
+    ("RoleListed", "listed_role"),
+    ("Semantics", "effect"),
+    ("Skus", "kinds"),
+    ("Source", "source"),
+    ("Stamps", "stamps"),
+    ("StepMs", "tick"),
+    ("Tariffs", "prices"),
+    ("Tenants", "tenants"),
+    ("Value", "utility"),
+    ("Waste", "waste"),
+    ("Whole", "whole"),
+    ("WindowMs", "repeat_window"),
+    ("WorstClass", "worst_method"),
+    ("WorstTenant", "worst_tenant"),
+    ("WorstWindow", "worst_window"),
+    ("WorthBy", "utility_by"),
+    ("WriteMarks", "session_marks"),
+];
+
+/// The wire's word for a value, and ours, by the name that holds it.
+const WORDS: &[(&str, &str, &str)] = &[
+    ("effect", "free", "idempotent"),
+    ("effect", "guarded", "tokened"),
+    ("effect", "single_shot", "non_idempotent"),
+    ("repeat_group", "cell", "group"),
+    ("needs", "update", "write"),
+    ("needs", "latest", "fresh"),
+    ("needs", "own_writes", "session"),
+    ("needs", "recent", "bounded"),
+    ("needs", "loose", "any"),
+    ("session_marks", "client", "carried"),
+    ("session_marks", "router", "remembered"),
+    ("utility_by", "request", "rpc"),
+];
+
+pub fn flat(text: &str) -> Result<ValueMap, Fault> {
+    let tree: Json = serde_json::from_str(text).map_err(Fault::Settings)?;
+    let mut flat = ValueMap::new();
+    put(&tree, "", "", false, &mut flat);
+    Ok(flat)
+}
+
+/// `word` is the last name on the way here that is not a place in a list.
+fn put(tree: &Json, path: &str, word: &str, is_time: bool, flat: &mut ValueMap) {
+    let below = |part: &str| if path.is_empty() { part.to_string() } else { format!("{path}.{part}") };
+    let value = match tree {
+        Json::Object(parts) => {
+            for (key, part) in parts {
+                if let Some((_, name)) = NAMES.iter().find(|(wire, _)| wire == key) {
+                    put(part, &below(name), name, key.ends_with("Ms"), flat);
+                }
+            }
+            return;
+        }
+        Json::Array(parts) => {
+            for (place, part) in parts.iter().enumerate() {
+                put(part, &below(&place.to_string()), word, is_time, flat);
+            }
+            return;
+        }
+        Json::Null => return,
+        Json::Bool(flag) => Value::Flag(*flag),
+        Json::Number(number) => match (is_time, number.as_f64()) {
+            (true, Some(ms)) => Value::Span(span(ms)),
+            (false, Some(number)) => Value::Number(number),
+            (_, None) => return,
+        },
+        Json::String(text) => {
+            let ours = WORDS.iter().find(|(name, wire, _)| *name == word && wire == text);
+            Value::Text(ours.map_or(text.as_str(), |(_, _, ours)| ours).to_string())
+        }
+    };
+    flat.insert(path.to_string(), value);
+}
+
+/// Milliseconds on the wire to a span, to the microsecond in which the wire counts; none below zero.
+pub fn span(ms: f64) -> Duration {
+    Duration::from_micros((ms * 1000.0).round().max(0.0) as u64)
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,165 @@
+//! The interface of the decision module: what it asks of its host, and the plain data that passes between them.
+//!
+//! All times are spans on one clock that every router reads and that only goes forward. A log position is a
+//! time on the same clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RpcId(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub SocketAddr);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GroupId(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionKey(pub u64);
+
+/// Place of a method in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MethodId(pub usize);
+
+/// Place of a tenant in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub usize);
+
+/// Which call-out of its RPC, counted from 0 in the order they were made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNo(pub u32);
+
+/// What the module may do. Everything takes effect at once, in the order of the calls.
+pub trait Host {
+    fn call_out(&mut self, rpc: RpcId, node: NodeId, time_out: Duration);
+    /// Final answer: nothing ran, come back after `retry_after` (zero: no advice).
+    fn push_back(&mut self, rpc: RpcId, retry_after: Duration);
+    /// Final answer that promises nothing about the effect.
+    fn abort(&mut self, rpc: RpcId);
+    fn cancel(&mut self, rpc: RpcId, call: CallNo);
+    fn probe(&mut self, node: NodeId);
+    /// Asks for changes to the node list from now on.
+    fn watch_list(&mut self);
+    /// Asks for the whole node list once.
+    fn fetch_list(&mut self);
+    /// Asks for one call of `timer_fired` after this span. It cannot be taken back.
+    fn wake(&mut self, after: Duration);
+    fn log(&mut self, line: &str);
+}
+
+/// One setting. The map's names are dotted paths, list places as numbers: `methods.0.deadline`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Flag(bool),
+    Number(f64),
+    Span(Duration),
+    Text(String),
+}
+
+pub type ValueMap = BTreeMap<String, Value>;
+
+#[derive(Clone, Debug)]
+pub struct Rpc {
+    pub id: RpcId,
+    pub method: MethodId,
+    pub tenant: TenantId,
+    pub session: Option<SessionKey>,
+    pub group: GroupId,
+    /// How long the client still waits for this try.
+    pub remaining: Duration,
+    pub work: Option<Duration>,
+    /// How long ago the session's last write was committed, where clients carry that.
+    pub since_write: Option<Duration>,
+    pub retried: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// How a call-out ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    /// Turned away unseen: no room, or the node drains.
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    /// Never left the router.
+    NotSent,
+    /// Turned away untouched: a write at a replica, or a read the node is too far behind for.
+    Miss,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::Miss)
+    }
+}
+
+/// What a node says of itself, as old as the report is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub position: Option<Duration>,
+    pub primary: Option<bool>,
+    pub active: Option<f64>,
+    pub waiting: Option<f64>,
+    pub busy: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct CallEnd {
+    pub rpc: RpcId,
+    pub call: CallNo,
+    pub node: NodeId,
+    pub outcome: Outcome,
+    /// The RPC is finished; nothing more is owed.
+    pub finished: bool,
+    pub took: Duration,
+    /// What the answer itself says of the node.
+    pub role: Option<Role>,
+    /// The node's log position, or the commit time of a write that went through.
+    pub position: Option<Duration>,
+    pub report: Option<Report>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Healthy,
+    Draining,
+    Gone,
+}
+
+/// One line of the node list.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub node: NodeId,
+    pub group: GroupId,
+    pub zone: ZoneId,
+    pub kind: usize,
+    pub primary: bool,
+    pub condition: Condition,
+    pub started: Option<Duration>,
+}
+
+/// How far a piece of news about the node list reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// Only these entries changed.
+    Changes,
+    /// The whole list as the registry has it; who is missing is gone.
+    Whole,
+    /// The whole list as this router last saw it, perhaps long ago.
+    Remembered,
+}
