--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -14,7 +14,7 @@
 use quillpoint::Router;
 use quillpoint::host::{
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
-    RpcId, SessionKey, TenantId, Value, ZoneId,
+    RpcId, SessionKey, TenantId, ZoneId,
 };
 use settings::span;
 
@@ -219,7 +219,9 @@
         self.put(format_args!("FETCH Who={}", self.who));
     }
     fn wake(&mut self, after: Duration) {
-        self.put(format_args!("NOTIFY_ME Who={} Handle=due FromNowMs={:.3}", self.who, ms(after)));
+        // Rounded up to the wire's microsecond: a timer that fired early would find nothing due.
+        let after = after.as_nanos().div_ceil(1000) as f64 / 1000.0;
+        self.put(format_args!("NOTIFY_ME Who={} Handle=due FromNowMs={after:.3}", self.who));
     }
     fn log(&mut self, line: &str) {
         self.put(format_args!("EMIT Who={} ReasonText={}", self.who, one_line(line)));
@@ -376,13 +378,10 @@
     fn power_on(&mut self, now: Duration, who: u64, fields: &Fields) -> Result<(), Fault> {
         let seed = fields.must("Nonce64")?;
         let values = settings::flat(fields.text("BootInfo").ok_or_else(|| fields.missing("BootInfo"))?)?;
-        let origin = match values.get("replication.origin") {
-            Some(Value::Span(origin)) => *origin,
-            _ => Duration::ZERO,
-        };
-        let field = |place: usize| match values.get(&format!("reports.fields.{place}")) {
-            Some(Value::Text(name)) => Some(name.clone()),
-            _ => None,
+        let origin = values.span("replication.origin").unwrap_or_default();
+        let field = |place: usize| {
+            let name = values.text(&format!("reports.fields.{place}"));
+            (!name.is_empty()).then(|| name.to_string())
         };
         let report_fields = (0..).map_while(field).collect();
         let line = Line { who, reply: Rc::clone(&self.reply) };
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -100,7 +100,7 @@
 
 pub fn flat(text: &str) -> Result<ValueMap, Fault> {
     let tree: Json = serde_json::from_str(text).map_err(Fault::Settings)?;
-    let mut flat = ValueMap::new();
+    let mut flat = ValueMap::default();
     put(&tree, "", "", false, &mut flat);
     Ok(flat)
 }
@@ -135,7 +135,7 @@
             Value::Text(ours.map_or(text.as_str(), |(_, _, ours)| ours).to_string())
         }
     };
-    flat.insert(path.to_string(), value);
+    flat.0.insert(path.to_string(), value);
 }
 
 /// Milliseconds on the wire to a span, to the microsecond in which the wire counts; none below zero.
--- a/src/host.rs
+++ b/src/host.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub SocketAddr);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GroupId(pub u64);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub usize);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
 /// Which call-out of its RPC, counted from 0 in the order they were made.
@@ -61,7 +61,34 @@
     Text(String),
 }
 
-pub type ValueMap = BTreeMap<String, Value>;
+/// The settings: a plain map, with a look-up for each type of value.
+#[derive(Clone, Debug, Default)]
+pub struct ValueMap(pub BTreeMap<String, Value>);
+
+impl ValueMap {
+    pub fn number(&self, name: &str) -> Option<f64> {
+        match self.0.get(name) {
+            Some(Value::Number(number)) => Some(*number),
+            _ => None,
+        }
+    }
+    pub fn span(&self, name: &str) -> Option<Duration> {
+        match self.0.get(name) {
+            Some(Value::Span(span)) => Some(*span),
+            _ => None,
+        }
+    }
+    /// Empty where the setting is missing.
+    pub fn text(&self, name: &str) -> &str {
+        match self.0.get(name) {
+            Some(Value::Text(text)) => text,
+            _ => "",
+        }
+    }
+    pub fn flag(&self, name: &str) -> bool {
+        matches!(self.0.get(name), Some(Value::Flag(true)))
+    }
+}
 
 #[derive(Clone, Debug)]
 pub struct Rpc {
