Count silence against the answers due, and call back only what a failed probe confirms

Cause: a fresh router had no answer times, took nodes for silent after 90 ms and called work back that went on running.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -113,12 +113,12 @@
     role: Option<(Role, Duration)>,
     in_flight: u32,
     limit: f64,
-    /// Present answer time in seconds, and against the shortest of each method.
-    took: f64,
+    /// Present answer time against the shortest of each method, and the share of failures, over so many answers.
     slow: f64,
     fails: f64,
-    /// The last answer, or the first call-out since there was none to wait for.
-    spoke: Duration,
+    answers: f64,
+    /// The answers that were due to come since the last one came.
+    missed: f64,
     dropped: bool,
     silent: bool,
     probe_sent: Option<Duration>,
@@ -290,7 +290,6 @@
                 started: new,
                 limit: FIRST_LIMIT,
                 slow: 1.0,
-                spoke: now,
                 ..Member::default()
             });
             member.stopped = match entry.condition {
@@ -362,9 +361,10 @@
         // A failed probe drops the node until a later one answers (the design's).
         member.dropped = !answered;
         if answered {
-            (member.spoke, member.silent, member.heard) = (now, false, Some(now));
+            (member.missed, member.silent, member.heard) = (0.0, false, Some(now));
         } else {
             self.lose_primary(now, group, node);
+            self.call_back(node);
         }
         if let Some(report) = report {
             self.note_report(now, node, &report);
@@ -373,6 +373,18 @@
         self.arm(now);
     }
 
+    /// Calls back what a dropped node holds, where a repeat does no harm: the outcome sends it elsewhere.
+    fn call_back(&mut self, node: NodeId) {
+        let repeats = |held: &Held| self.methods[held.rpc.method.0].repeats == Repeats::Always;
+        for (id, held) in self.held.iter().filter(|(_, held)| repeats(held)) {
+            for (place, call) in held.calls.iter().enumerate() {
+                if call.node == node && call.outcome.is_none() && self.values.flag("allowed.cancel") {
+                    self.host.cancel(*id, CallNo(place as u32));
+                }
+            }
+        }
+    }
+
     pub fn client_left(&mut self, now: Duration, rpc: RpcId) {
         self.forget(rpc);
         self.arm(now);
@@ -412,7 +424,13 @@
         let passed = now.saturating_sub(self.swept).as_secs_f64();
         self.swept = now;
         let overload = self.overload_time();
-        let mut silent = BTreeSet::new();
+        // Answers a second that the call-outs now out should bring.
+        let mut due: BTreeMap<NodeId, f64> = BTreeMap::new();
+        for held in self.held.values() {
+            for call in held.calls.iter().filter(|call| call.outcome.is_none()) {
+                *due.entry(call.node).or_default() += 1.0 / self.methods[held.rpc.method.0].present.max(1e-3);
+            }
+        }
         for (node, member) in &mut self.members {
             if passed > 0.0 {
                 let new = 1.0 - (-passed / 2.0).exp();
@@ -423,27 +441,13 @@
             }
             // Guards against a node that hangs, dies or is cut off without a word: when the answers that are
             // due stay away for longer than chance allows, nothing more is sent until it is heard again.
-            let due = now.saturating_sub(member.spoke).as_secs_f64() * f64::from(member.in_flight);
-            if !member.silent && due > SILENT * member.took.max(0.01) {
-                member.silent = true;
-                silent.insert(*node);
-            }
+            member.missed += passed * due.get(node).copied().unwrap_or_default() / member.slow.max(1.0);
+            member.silent |= member.missed > SILENT;
             if member.probe_sent.is_some_and(|at| at + PROBE_LOST < now) {
                 member.probe_sent = None;
                 member.dropped = true;
             }
         }
-        // Calls back what silent nodes hold, where a repeat does no harm: it is sent elsewhere on the outcome.
-        if self.values.flag("allowed.cancel") && !silent.is_empty() {
-            for (id, held) in &self.held {
-                let repeats = self.methods[held.rpc.method.0].repeats == Repeats::Always;
-                for (place, call) in held.calls.iter().enumerate() {
-                    if repeats && call.outcome.is_none() && silent.contains(&call.node) {
-                        self.host.cancel(*id, CallNo(place as u32));
-                    }
-                }
-            }
-        }
         // A remembered commit that every member has passed excludes nobody any more.
         let (members, methods) = (&self.members, self.methods.len());
         self.tokens.retain(|(group, _), token| {
@@ -482,15 +486,17 @@
         use Outcome::{ConnectFailed, Error, Full, Miss, NotSent, Ok, Reset, TimedOut};
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
+        let weight = WEIGHT.max(1.0 / (member.answers + 2.0));
         member.in_flight = member.in_flight.saturating_sub(1);
         match end.outcome {
-            Ok | Error | Full | Miss => (member.spoke, member.silent) = (now, false),
+            Ok | Error | Full | Miss => (member.missed, member.silent) = (0.0, false),
             // Guards against a dead process or a cut link: a probe decides before more is lost there.
             ConnectFailed | Reset => member.silent = true,
             _ => {}
         }
         if matches!(end.outcome, Ok | Error | TimedOut | Reset | ConnectFailed) {
             let failed = f64::from(u8::from(end.outcome != Ok));
+            member.answers += 1.0;
             member.fails += (failed - member.fails) * WEIGHT;
         }
         if end.outcome == Full {
@@ -499,8 +505,7 @@
         let held = self.held.get(&end.rpc);
         if let Some(method) = held.and_then(|held| self.methods.get_mut(held.rpc.method.0)) {
             if matches!(end.outcome, Ok | TimedOut) {
-                member.took += (took - member.took) * WEIGHT;
-                member.slow += (took / method.shortest - member.slow) * WEIGHT;
+                member.slow += (took / method.shortest - member.slow) * weight;
                 let ratio = (TOLERANCE / member.slow.max(0.1)).clamp(0.5, 1.0);
                 // Only a limit that is nearly reached has shown that it could be wider.
                 let used = f64::from(member.in_flight + 1) > member.limit / 2.0;
@@ -865,9 +870,6 @@
         if held.calls.is_empty() {
             self.further = (self.further + FURTHER_SHARE).min(FURTHER_SAVED);
         }
-        if member.in_flight == 0 {
-            member.spoke = now;
-        }
         member.in_flight += 1;
         member.last_send = now;
         member.cold_sends.push_back((now, method.shortest));
