--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,8 +36,6 @@
 const NO_BOUND: Duration = millis(1000);
 /// A dropped node is probed at this pace: often enough to win it back soon, and one probe costs little.
 const DROPPED_PROBE: Duration = millis(250);
-/// A probe whose end the host has not told by then has failed.
-const PROBE_LOST: Duration = millis(1000);
 /// What one answer weighs: some twenty make up a node's present answer time.
 const WEIGHT: f64 = 0.05;
 /// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing keeps nodes busy.
@@ -49,9 +47,9 @@
 const SHORTEST_FORGETS: f64 = 1.02;
 /// A node is silent when chance alone would make it so once in about 8,000 (e^9) tries.
 const SILENT: f64 = 9.0;
-/// Past this slowness (against the group's median) or share of failures, a node gets a trickle only.
+/// Past this slowness (against the group's median) a node gets a trickle only; a failure counts as this slow.
 const CRAWLS: f64 = 3.0;
-const FAILS: f64 = 0.4;
+const FAILED: f64 = 10.0;
 const TRICKLE: Duration = millis(200);
 /// Call-outs after one that may have run: this many for each first call-out, and so many saved up.
 const FURTHER_SHARE: f64 = 0.2;
@@ -78,14 +76,19 @@
 enum Repeats {
     /// Idempotent.
     Always,
-    /// Tokened: for this long where all nodes, the zone's or the group's drop them.
-    All(Duration),
-    Zone(Duration),
-    Group(Duration),
+    /// Tokened: whether all nodes (or the zone's, or the group's) drop them, and for how long.
+    Tokened(Scope, Duration),
     /// Non-idempotent.
     Never,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Scope {
+    All,
+    Zone,
+    Group,
+}
+
 /// What the settings say of a method, and what its answers have shown.
 struct Method {
     need: Need,
@@ -113,15 +116,14 @@
     role: Option<(Role, Duration)>,
     in_flight: u32,
     limit: f64,
-    /// Present answer time against the shortest of each method, and the share of failures, over so many answers.
+    /// Present answer time against the shortest of each method, failures counted in, over so many answers.
     slow: f64,
-    fails: f64,
     answers: f64,
     /// The answers that were due to come since the last one came.
     missed: f64,
     dropped: bool,
     silent: bool,
-    probe_sent: Option<Duration>,
+    probing: bool,
     probe_ended: Duration,
     last_send: Duration,
     /// Work answered a second, and since the last sweep.
@@ -200,7 +202,6 @@
     tightest: Duration,
     tick: Duration,
     call_outs: usize,
-    sweep_at: Duration,
     swept: Duration,
     armed: Option<Duration>,
     ask_at: Option<Duration>,
@@ -228,7 +229,6 @@
             held: BTreeMap::new(),
             due: BTreeSet::new(),
             tokens: BTreeMap::new(),
-            sweep_at: now,
             swept: now,
             armed: None,
             ask_at: None,
@@ -258,9 +258,9 @@
         let window = values.span(&path("repeat_window")).unwrap_or_default();
         let repeats = match (values.text(&path("effect")), values.text(&path("repeat_group"))) {
             ("idempotent", _) => Repeats::Always,
-            ("tokened", "all") => Repeats::All(window),
-            ("tokened", "zone") => Repeats::Zone(window),
-            ("tokened", _) => Repeats::Group(window),
+            ("tokened", "all") => Repeats::Tokened(Scope::All, window),
+            ("tokened", "zone") => Repeats::Tokened(Scope::Zone, window),
+            ("tokened", _) => Repeats::Tokened(Scope::Group, window),
             _ => Repeats::Never,
         };
         let utility = values.number(&path("utility")).unwrap_or(1.0);
@@ -330,8 +330,7 @@
         let held = Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false };
         self.held.insert(id, held);
         self.line_up(now, id);
-        self.dispatch(now, group_id);
-        self.arm(now);
+        self.settle(now, group_id);
     }
 
     pub fn call_ended(&mut self, now: Duration, end: CallEnd) {
@@ -347,16 +346,13 @@
         } else if self.held.get(&end.rpc).is_some_and(|held| !held.is_out() && !held.waits) {
             self.go_on(now, end.rpc, end.outcome);
         }
-        if let Some(group) = self.members.get(&end.node).map(|member| member.group) {
-            self.dispatch(now, group);
-        }
-        self.arm(now);
+        self.settle(now, self.members[&end.node].group);
     }
 
     pub fn probe_ended(&mut self, now: Duration, node: NodeId, answered: bool, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&node) else { return };
         let group = member.group;
-        member.probe_sent = None;
+        member.probing = false;
         member.probe_ended = now;
         // A failed probe drops the node until a later one answers (the design's).
         member.dropped = !answered;
@@ -369,8 +365,7 @@
         if let Some(report) = report {
             self.note_report(now, node, &report);
         }
-        self.dispatch(now, group);
-        self.arm(now);
+        self.settle(now, group);
     }
 
     /// Calls back what a dropped node holds, where a repeat does no harm: the outcome sends it elsewhere.
@@ -396,15 +391,21 @@
             self.due.remove(&(at, id));
             self.rpc_due(now, id);
         }
-        if self.sweep_at <= now {
+        if self.swept + self.tightest / SWEEPS_PER_BOUND <= now {
             self.sweep(now);
         }
         self.arm(now);
     }
 
+    fn settle(&mut self, now: Duration, group: GroupId) {
+        self.dispatch(now, group);
+        self.arm(now);
+    }
+
     /// One timer: for the next of the periodic work and of the due times.
     fn arm(&mut self, now: Duration) {
-        let next = self.due.first().map_or(self.sweep_at, |(at, _)| self.sweep_at.min(*at)).max(now);
+        let sweep = self.swept + self.tightest / SWEEPS_PER_BOUND;
+        let next = self.due.first().map_or(sweep, |(at, _)| sweep.min(*at)).max(now);
         if self.armed.is_none_or(|at| at > next) {
             self.armed = Some(next);
             self.host.wake(next - now);
@@ -416,7 +417,6 @@
     }
 
     fn sweep(&mut self, now: Duration) {
-        self.sweep_at = now + self.tightest / SWEEPS_PER_BOUND;
         if self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
             self.host.watch_list();
@@ -443,17 +443,12 @@
             // due stay away for longer than chance allows, nothing more is sent until it is heard again.
             member.missed += passed * due.get(node).copied().unwrap_or_default() / member.slow.max(1.0);
             member.silent |= member.missed > SILENT;
-            if member.probe_sent.is_some_and(|at| at + PROBE_LOST < now) {
-                member.probe_sent = None;
-                member.dropped = true;
-            }
         }
         // A remembered commit that every member has passed excludes nobody any more.
-        let (members, methods) = (&self.members, self.methods.len());
-        self.tokens.retain(|(group, _), token| {
-            methods == 0
-                || members.values().any(|m| m.group == *group && !m.stopped && m.position < Some(*token))
-        });
+        let members = &self.members;
+        let behind =
+            |group, token| move |m: &Member| m.group == group && !m.stopped && m.position < Some(token);
+        self.tokens.retain(|(group, _), token| members.values().any(behind(*group, *token)));
         self.probe_old(now);
         for group in self.groups.keys().copied().collect::<Vec<_>>() {
             self.dispatch(now, group);
@@ -473,9 +468,9 @@
                 (Some(heard), _) => heard + half,
                 (None, _) => now,
             };
-            let free = member.probe_sent.is_none() && !member.stopped && self.values.flag("allowed.probes");
+            let free = !member.probing && !member.stopped && self.values.flag("allowed.probes");
             if free && due <= now {
-                member.probe_sent = Some(now);
+                member.probing = true;
                 self.host.probe(*node);
             }
         }
@@ -483,10 +478,9 @@
 
     /// Takes what an ended call-out tells of its node and of its method.
     fn learn(&mut self, now: Duration, end: &CallEnd, sent: Duration) {
-        use Outcome::{ConnectFailed, Error, Full, Miss, NotSent, Ok, Reset, TimedOut};
+        use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Reset, TimedOut};
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
-        let weight = WEIGHT.max(1.0 / (member.answers + 2.0));
         member.in_flight = member.in_flight.saturating_sub(1);
         match end.outcome {
             Ok | Error | Full | Miss => (member.missed, member.silent) = (0.0, false),
@@ -494,25 +488,26 @@
             ConnectFailed | Reset => member.silent = true,
             _ => {}
         }
-        if matches!(end.outcome, Ok | Error | TimedOut | Reset | ConnectFailed) {
-            let failed = f64::from(u8::from(end.outcome != Ok));
-            member.answers += 1.0;
-            member.fails += (failed - member.fails) * WEIGHT;
-        }
-        if end.outcome == Full {
-            member.limit = (member.limit / 2.0).max(LIMITS.0);
-        }
         let held = self.held.get(&end.rpc);
         if let Some(method) = held.and_then(|held| self.methods.get_mut(held.rpc.method.0)) {
-            if matches!(end.outcome, Ok | TimedOut) {
-                member.slow += (took / method.shortest - member.slow) * weight;
+            let slow = match end.outcome {
+                Ok | TimedOut => Some(took / method.shortest),
+                Error | Reset | ConnectFailed => Some(FAILED),
+                Full | Miss | NotSent | Cancelled => None,
+            };
+            if let Some(slow) = slow {
+                member.answers += 1.0;
+                member.slow += (slow - member.slow) * WEIGHT.max(1.0 / (member.answers + 1.0));
                 let ratio = (TOLERANCE / member.slow.max(0.1)).clamp(0.5, 1.0);
                 // Only a limit that is nearly reached has shown that it could be wider.
                 let used = f64::from(member.in_flight + 1) > member.limit / 2.0;
                 let target = member.limit * ratio + f64::from(u8::from(used));
                 member.limit += (target - member.limit) * WEIGHT;
-                member.limit = member.limit.clamp(LIMITS.0, LIMITS.1);
             }
+            if end.outcome == Full {
+                member.limit /= 2.0;
+            }
+            member.limit = member.limit.clamp(LIMITS.0, LIMITS.1);
             if end.outcome == Ok {
                 member.carried_now += method.shortest;
                 method.present += (took - method.present) * WEIGHT;
@@ -530,14 +525,13 @@
         // A primary's position is the present when the answer was made, so it dates the role; without it, the
         // answer is younger than the call-out. A replica's answer counts from when it came.
         match end.role {
-            Some(Role::Primary) => {
-                self.note_role(now, end.node, Role::Primary, end.position.unwrap_or(sent), true)
-            }
             Some(Role::Replica) => self.note_role(now, end.node, Role::Replica, now, true),
+            Some(role) => self.note_role(now, end.node, role, end.position.unwrap_or(sent), true),
             None => {}
         }
         if let Some(position) = end.position {
-            self.note_position(now, end.node, position);
+            // A commit is rounded up, all else down.
+            self.note_position(now, end.node, position.saturating_sub(millis(1)));
             let held = self.held.get(&end.rpc).filter(|_| end.outcome == Ok && self.remembers());
             if let Some(session) = held.and_then(|held| held.rpc.session)
                 && held.is_some_and(|held| self.methods[held.rpc.method.0].need == Need::Write)
@@ -647,8 +641,7 @@
         let ends_by = held.deadline.saturating_sub(self.tick);
         let next = if held.waits { self.last_use(held).min(ends_by) } else { ends_by };
         if now >= next {
-            let advice = if held.waits { self.values.span("allowed.longest_retry_after") } else { None };
-            return self.finish(id, advice.unwrap_or_default());
+            return self.finish(id, self.values.span("allowed.longest_retry_after").unwrap_or_default());
         }
         self.due.insert((next, id));
     }
@@ -657,8 +650,8 @@
     fn finish(&mut self, id: RpcId, retry_after: Duration) {
         let Some(held) = self.held.get(&id) else { return };
         let repeats = self.methods[held.rpc.method.0].repeats;
-        let harmless =
-            matches!(repeats, Repeats::Always | Repeats::All(_)) || held.may_have_run().next().is_none();
+        let harmless = matches!(repeats, Repeats::Always | Repeats::Tokened(Scope::All, _))
+            || held.may_have_run().next().is_none();
         self.forget(id);
         if harmless {
             self.host.push_back(id, retry_after);
@@ -771,7 +764,7 @@
         }
         // Guards against nodes that crawl or fail fast. When most look bad the cause is shared, so slowness is
         // held against the group's median.
-        if member.slow > CRAWLS * self.median_slow(member.group) || member.fails > FAILS {
+        if member.slow > CRAWLS * self.median_slow(member.group) {
             return if member.in_flight == 0 && member.last_send + TRICKLE <= now { 0.1 } else { 0.0 };
         }
         (member.limit - f64::from(member.in_flight)) * self.warmth(now, member)
@@ -821,19 +814,20 @@
         }
         // Rule 2: what may have run is repeated only as its method allows.
         let method = &self.methods[held.rpc.method.0];
-        let earlier = |call: &Call| self.members.get(&call.node);
+        let drops = |scope, earlier: &Member| match scope {
+            Scope::All => true,
+            Scope::Zone => earlier.zone == member.zone,
+            Scope::Group => earlier.group == member.group,
+        };
+        let may_repeat = |call: &Call| match method.repeats {
+            Repeats::Always => true,
+            Repeats::Tokened(scope, window) => {
+                now < call.sent + window && self.members.get(&call.node).is_some_and(|m| drops(scope, m))
+            }
+            Repeats::Never => false,
+        };
         let repeat = (!held.is_out() || self.values.flag("allowed.second_copies"))
-            && held.may_have_run().all(|call| match method.repeats {
-                Repeats::Always => true,
-                Repeats::All(window) => now < call.sent + window,
-                Repeats::Zone(window) => {
-                    now < call.sent + window && earlier(call).is_some_and(|m| m.zone == member.zone)
-                }
-                Repeats::Group(window) => {
-                    now < call.sent + window && earlier(call).is_some_and(|m| m.group == member.group)
-                }
-                Repeats::Never => false,
-            });
+            && held.may_have_run().all(may_repeat);
         // Rule 3: nothing to a node once it is told to drain; the grace is for what is out already.
         // Rule 4: the cold budget. Rule 5: proof of freshness, unless nodes check for themselves.
         let fresh = self.values.text("replication.read_check") != "none" || self.is_current(now, held, node);
