--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -228,6 +228,9 @@
     }
 }
 
+/// What one event has a router do.
+type Deed<'a> = Box<dyn FnOnce(&mut Router<Line>) + 'a>;
+
 /// All instances of one process, and where in the input it stands.
 #[derive(Default)]
 pub struct Bench {
@@ -306,7 +309,7 @@
             _ => {}
         }
         let seat = self.seats.get_mut(&who).ok_or(Fault::Instance(who))?;
-        let call: Box<dyn FnOnce(&mut Router<Line>)> = match fields.message {
+        let call: Deed = match fields.message {
             "DIRECTORY_UPDATE" => {
                 let form = fields.text("Form").ok_or_else(|| fields.missing("Form"))?;
                 let extent = match form {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod host;
 pub mod logic;
+mod state;
 
 pub use logic::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 //! 4. Cold budget: what a node that has just started may be sent.
 //! 5. Giving up: what can no longer be of use is ended early, with a time to come back.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -18,8 +18,9 @@
 
 use crate::host::{
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
-    RpcId, SessionKey, ValueMap, ZoneId,
+    RpcId, SessionKey, ValueMap,
 };
+use crate::state::{Call, Group, Held, Member, Method, Need, Repeats, Scope};
 
 const fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -63,75 +64,6 @@
 /// Asking for the list again after a failure: this first, then twice as long each time.
 const ASK_AGAIN: Duration = millis(300);
 
-#[derive(Clone, Copy, PartialEq)]
-enum Need {
-    Write,
-    Fresh,
-    Session,
-    Bounded(Duration),
-    Any,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Repeats {
-    /// Idempotent.
-    Always,
-    /// Tokened: whether all nodes (or the zone's, or the group's) drop them, and for how long.
-    Tokened(Scope, Duration),
-    /// Non-idempotent.
-    Never,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Scope {
-    All,
-    Zone,
-    Group,
-}
-
-/// What the settings say of a method, and what its answers have shown.
-struct Method {
-    need: Need,
-    repeats: Repeats,
-    soft: Duration,
-    utility: f64,
-    late_utility: f64,
-    /// Mean answer time at present and the shortest such mean, in seconds.
-    present: f64,
-    shortest: f64,
-    /// The span in which the next mean is taken: its end, the sum and the count.
-    span: (Duration, f64, f64),
-}
-
-/// What this router knows of a node.
-#[derive(Default)]
-struct Member {
-    group: GroupId,
-    zone: ZoneId,
-    kind: usize,
-    stopped: bool,
-    started: Option<Duration>,
-    position: Option<Duration>,
-    heard: Option<Duration>,
-    role: Option<(Role, Duration)>,
-    in_flight: u32,
-    limit: f64,
-    /// Present answer time against the shortest of each method, failures counted in, over so many answers.
-    slow: f64,
-    answers: f64,
-    /// The answers that were due to come since the last one came.
-    missed: f64,
-    dropped: bool,
-    silent: bool,
-    probing: bool,
-    probe_ended: Duration,
-    last_send: Duration,
-    /// Work answered a second, and since the last sweep.
-    carried: f64,
-    carried_now: f64,
-    cold_sends: VecDeque<(Duration, f64)>,
-}
-
 impl Member {
     fn open(&self) -> bool {
         !(self.stopped || self.dropped || self.silent)
@@ -141,32 +73,6 @@
     }
 }
 
-#[derive(Default)]
-struct Group {
-    /// The primary, the time of the newest evidence, and whether an answer itself (not a report) has proven it.
-    primary: Option<(NodeId, Duration, bool)>,
-    /// When the last primary was lost: who has answered as a replica since then is left out of the search.
-    lost: Duration,
-    share: f64,
-    lines: BTreeMap<(bool, MethodId), BTreeSet<(Duration, RpcId)>>,
-}
-
-struct Call {
-    node: NodeId,
-    sent: Duration,
-    outcome: Option<Outcome>,
-}
-
-struct Held {
-    rpc: Rpc,
-    soft: Duration,
-    deadline: Duration,
-    arrived: Duration,
-    token: Option<Duration>,
-    calls: Vec<Call>,
-    waits: bool,
-}
-
 impl Held {
     fn may_have_run(&self) -> impl Iterator<Item = &Call> {
         self.calls.iter().filter(|call| !call.outcome.is_some_and(Outcome::never_ran))
