Limits grow by one for all routers together

Cause: with seven routers each limit's own step held 15 call-outs at an 8-slot node, and a third of the reads timed out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -108,6 +108,7 @@
     tightest: Duration,
     tick: Duration,
     call_outs: usize,
+    routers: f64,
     swept: Duration,
     armed: Option<Duration>,
     ask_at: Option<Duration>,
@@ -128,6 +129,7 @@
             tightest: bounds.min().unwrap_or(NO_BOUND),
             tick: values.span("tick").unwrap_or(millis(1)),
             call_outs: values.number("allowed.call_outs").unwrap_or(1.0) as usize,
+            routers: values.number("routers").unwrap_or(1.0).max(1.0),
             values,
             methods,
             members: BTreeMap::new(),
@@ -415,7 +417,7 @@
                 let ratio = (TOLERANCE / member.slow.max(0.1)).clamp(0.5, 1.0);
                 // Only a limit that is nearly reached has shown that it could be wider.
                 let used = f64::from(member.in_flight + 1) > member.limit / 2.0;
-                let target = member.limit * ratio + f64::from(u8::from(used));
+                let target = member.limit * ratio + if used { 1.0 / self.routers } else { 0.0 };
                 member.limit += (target - member.limit) * WEIGHT;
             }
             if end.outcome == Full {
