--- a/src/logic.rs
+++ b/src/logic.rs
@@ -625,7 +625,13 @@
                 continue;
             }
             if !self.is_current(now, held, *node) {
-                nearest = nearest.max(Some((member.position, *node)));
+                // Guards against a flood of misses while all lag: a try is worth it only where the node would
+                // pass if it has kept pace since it was heard, so that merely its entry has aged.
+                let heard = member.heard.unwrap_or(now);
+                let pace = member.position.unwrap_or_default() + (now - heard);
+                if pace >= self.needed_position(now, held) {
+                    nearest = nearest.max(Some((pace, *node)));
+                }
                 continue;
             }
             passing = true;
@@ -714,14 +720,17 @@
 
     /// Whether rule 5 lets this node answer this read: by a position that was told, or by being the primary.
     fn is_current(&self, now: Duration, held: &Held, node: NodeId) -> bool {
-        let position = self.members[&node].position;
         let primary = self.groups[&held.rpc.group].primary;
-        let proven = primary.is_some_and(|(primary, _, proven)| primary == node && proven);
+        primary.is_some_and(|(primary, _, proven)| primary == node && proven)
+            || self.members[&node].position.unwrap_or_default() >= self.needed_position(now, held)
+    }
+
+    fn needed_position(&self, now: Duration, held: &Held) -> Duration {
         match self.methods[held.rpc.method.0].need {
-            Need::Any | Need::Write => true,
-            Need::Fresh => proven || position >= Some(held.arrived),
-            Need::Session => proven || held.token.is_none() || position >= held.token,
-            Need::Bounded(bound) => proven || position >= Some(now.saturating_sub(bound)),
+            Need::Any | Need::Write => Duration::ZERO,
+            Need::Fresh => held.arrived,
+            Need::Session => held.token.unwrap_or_default(),
+            Need::Bounded(bound) => now.saturating_sub(bound),
         }
     }
 
