--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,7 +58,7 @@
 /// An RPC is sent only if this multiple of the present answer time is left to it.
 const TIME_NEEDED: f64 = 1.2;
 /// The part of a cold node's permitted load that is used: routers carry unequal traffic.
-const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.75;
 /// At least one call-out to a cold node in this part of the span over which it may be overloaded.
 const COLD_FLOOR: u32 = 4;
 /// Asking for the list again after a failure: this first, then twice as long each time.
@@ -764,14 +764,15 @@
     }
 
     /// What warm nodes of the kind are seen to carry for this router, times the part of it that the cold node has
-    /// by now, times half the permitted multiple. Every router keeps to its own part, so all together do.
+    /// by now, times most of the permitted multiple. Every router keeps to its own part, so all together do.
     fn is_within_cold_budget(&self, now: Duration, member: &Member, work: f64) -> bool {
         let warmth = self.warmth(now, member);
         if warmth >= 1.0 {
             return true;
         }
         let span = self.overload_time();
-        let warm = self.members.values().filter(|m| m.kind == member.kind && self.warmth(now, m) >= 1.0);
+        let like = |m: &&Member| m.open() && m.kind == member.kind && self.warmth(now, m) >= 1.0;
+        let warm = self.members.values().filter(like);
         let (sum, count) = warm.fold((0.0, 1e-9), |(sum, count), m| (sum + m.carried, count + 1.0));
         let multiple = self.values.number("rules.fall_multiple").unwrap_or(1.0) * COLD_MARGIN;
         let budget = sum / count * warmth * multiple * span.as_secs_f64();
