--- a/src/logic.rs
+++ b/src/logic.rs
@@ -772,10 +772,9 @@
         }
         let span = self.overload_time();
         let like = |m: &&Member| m.open() && m.kind == member.kind && self.warmth(now, m) >= 1.0;
-        let warm = self.members.values().filter(like);
-        let (sum, count) = warm.fold((0.0, 1e-9), |(sum, count), m| (sum + m.carried, count + 1.0));
+        let warm = self.members.values().filter(like).map(|m| m.carried).fold(0.0, f64::max);
         let multiple = self.values.number("rules.fall_multiple").unwrap_or(1.0) * COLD_MARGIN;
-        let budget = sum / count * warmth * multiple * span.as_secs_f64();
+        let budget = warm * warmth * multiple * span.as_secs_f64();
         let sends = member.cold_sends.iter().filter(|(at, _)| *at + span > now);
         sends.map(|(_, work)| work).sum::<f64>() + work <= budget
             || (member.in_flight == 0 && member.last_send + span / COLD_FLOOR <= now)
