Tighter limits (1.15 times the shortest answer time) and twice the answer time left

Queueing at the nodes costs more than it brings, since what waits there is served oldest first and slows the log's thread.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 /// What one answer weighs: some twenty make up a node's present answer time.
 const WEIGHT: f64 = 0.05;
 /// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing keeps nodes busy.
-const TOLERANCE: f64 = 1.6;
+const TOLERANCE: f64 = 1.15;
 const FIRST_LIMIT: f64 = 8.0;
 const LIMITS: (f64, f64) = (1.0, 256.0);
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
@@ -56,7 +56,7 @@
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 20.0;
 /// An RPC is sent only if this multiple of the present answer time is left to it.
-const TIME_NEEDED: f64 = 1.2;
+const TIME_NEEDED: f64 = 2.0;
 /// The part of a cold node's permitted load that is used: routers carry unequal traffic.
 const COLD_MARGIN: f64 = 0.75;
 /// At least one call-out to a cold node in this part of the span over which it may be overloaded.
