Long any-reads go to one member; limits start at 16 for all routers together

Symptom told from a slow log by positions that stood still rather than crept. Harm: that member is busy and lags; where it is down the next one takes over.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,8 @@
 const WEIGHT: f64 = 0.05;
 /// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing keeps nodes busy.
 const TOLERANCE: f64 = 1.15;
-const FIRST_LIMIT: f64 = 8.0;
+/// What all routers together start with at a node.
+const FIRST_LIMIT: f64 = 16.0;
 const LIMITS: (f64, f64) = (1.0, 256.0);
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
@@ -196,7 +197,7 @@
                 zone: entry.zone,
                 kind: entry.kind,
                 started: new,
-                limit: FIRST_LIMIT,
+                limit: FIRST_LIMIT / self.routers,
                 slow: 1.0,
                 ..Member::default()
             });
@@ -642,6 +643,11 @@
             }
         }
         if let Some((last, _)) = room.last() {
+            // Guards against long reads that keep replicas from applying the log: one that takes a good part of the
+            // bound goes to the last member in sorted order, the same at all routers, so that the rest keep up.
+            if self.is_long(held) {
+                return Pick::Node(*last);
+            }
             let at = self.chance.random_range(0.0..total);
             return Pick::Node(room.iter().find(|(_, upto)| at < *upto).map_or(*last, |(node, _)| *node));
         }
@@ -725,6 +731,11 @@
             || self.members[&node].position.unwrap_or_default() >= self.needed_position(now, held)
     }
 
+    fn is_long(&self, held: &Held) -> bool {
+        let method = &self.methods[held.rpc.method.0];
+        method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64()
+    }
+
     fn needed_position(&self, now: Duration, held: &Held) -> Duration {
         match self.methods[held.rpc.method.0].need {
             Need::Any | Need::Write => Duration::ZERO,
