--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,21 +74,6 @@
     }
 }
 
-impl Held {
-    fn may_have_run(&self) -> impl Iterator<Item = &Call> {
-        self.calls.iter().filter(|call| !call.outcome.is_some_and(Outcome::never_ran))
-    }
-    fn is_out(&self) -> bool {
-        self.calls.iter().any(|call| call.outcome.is_none())
-    }
-    fn tried(&self, node: NodeId) -> bool {
-        self.calls.iter().any(|call| call.node == node)
-    }
-    fn line(&self) -> (bool, MethodId) {
-        (!self.calls.is_empty(), self.rpc.method)
-    }
-}
-
 enum Pick {
     Node(NodeId),
     Wait,
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,3 +101,18 @@
     pub calls: Vec<Call>,
     pub waits: bool,
 }
+
+impl Held {
+    pub fn may_have_run(&self) -> impl Iterator<Item = &Call> {
+        self.calls.iter().filter(|call| !call.outcome.is_some_and(Outcome::never_ran))
+    }
+    pub fn is_out(&self) -> bool {
+        self.calls.iter().any(|call| call.outcome.is_none())
+    }
+    pub fn tried(&self, node: NodeId) -> bool {
+        self.calls.iter().any(|call| call.node == node)
+    }
+    pub fn line(&self) -> (bool, MethodId) {
+        (!self.calls.is_empty(), self.rpc.method)
+    }
+}
