--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
     RpcId, SessionKey, ValueMap,
 };
-use crate::state::{Call, Group, Held, Member, Method, Need, Repeats, Scope};
+use crate::state::{Call, Group, Held, Member, Method, Need, Pick, Repeats, Scope};
 
 const fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -65,21 +65,6 @@
 /// Asking for the list again after a failure: this first, then twice as long each time.
 const ASK_AGAIN: Duration = millis(300);
 
-impl Member {
-    fn open(&self) -> bool {
-        !(self.stopped || self.dropped || self.silent)
-    }
-    fn has_room(&self) -> bool {
-        f64::from(self.in_flight) < self.limit
-    }
-}
-
-enum Pick {
-    Node(NodeId),
-    Wait,
-    Refuse,
-}
-
 pub struct Router<H: Host> {
     host: H,
     chance: ChaCha8Rng,
@@ -407,7 +392,9 @@
                 member.limit += (target - member.limit) * WEIGHT;
             }
             if end.outcome == Full {
+                // Guards against answering a full node with the next call-out at once, up to the last one allowed.
                 member.limit /= 2.0;
+                member.full_until = now + HOLD;
             }
             member.limit = member.limit.clamp(LIMITS.0, LIMITS.1);
             if end.outcome == Ok {
@@ -638,7 +625,7 @@
         }
         let may = |node: &NodeId| self.members[node].open() && self.gate(now, id, *node);
         if let Some(node) = primary.filter(|node| group.share >= 1.0 && may(node))
-            && self.members[&node].has_room()
+            && self.members[&node].has_room(now)
         {
             return Pick::Node(node);
         }
@@ -657,7 +644,7 @@
         let held = &self.held[&id];
         let may = |node: &NodeId| {
             let member = &self.members[node];
-            member.open() && member.has_room() && self.gate(now, id, *node)
+            member.open() && member.has_room(now) && self.gate(now, id, *node)
         };
         if let Some(node) = primary {
             return if may(&node) { Pick::Node(node) } else { Pick::Wait };
@@ -676,7 +663,7 @@
 
     /// Free room at a node, as a weight for the pick.
     fn room(&self, now: Duration, member: &Member) -> f64 {
-        if !member.has_room() {
+        if !member.has_room(now) {
             return 0.0;
         }
         // Guards against nodes that crawl or fail fast. When most look bad the cause is shared, so slowness is
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     pub probing: bool,
     pub probe_ended: Duration,
     pub last_send: Duration,
+    /// The node was full: it rests until then.
+    pub full_until: Duration,
     /// Work answered a second, and since the last sweep.
     pub carried: f64,
     pub carried_now: f64,
@@ -116,3 +118,19 @@
         (!self.calls.is_empty(), self.rpc.method)
     }
 }
+
+impl Member {
+    pub fn open(&self) -> bool {
+        !(self.stopped || self.dropped || self.silent)
+    }
+    pub fn has_room(&self, now: Duration) -> bool {
+        f64::from(self.in_flight) < self.limit && self.full_until <= now
+    }
+}
+
+/// Where an RPC goes now.
+pub(crate) enum Pick {
+    Node(NodeId),
+    Wait,
+    Refuse,
+}
