Lost call-outs leave the limit; a silent node is tried again where probes are not allowed

Else guards against: one-way loss, stuck worker threads. Harm: a method with very uneven answer times leaves the limit early and crowds its node.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 const SHORTEST_FORGETS: f64 = 1.02;
 /// A node is silent when chance alone would make it so once in about 8,000 (e^9) tries.
 const SILENT: f64 = 9.0;
+/// A call-out that takes this many times the present answer time counts as lost; chance does so once in 150.
+const LOST: f64 = 5.0;
 /// Past this slowness (against the group's median) a node gets a trickle only; a failure counts as this slow.
 const CRAWLS: f64 = 3.0;
 const FAILED: f64 = 10.0;
@@ -90,14 +92,12 @@
 impl<H: Host> Router<H> {
     pub fn new(host: H, seed: u64, values: ValueMap, now: Duration) -> Self {
         let methods: Vec<Method> = (0..).map_while(|place| Self::method(&values, place, now)).collect();
-        let bounds = methods.iter().filter_map(|method| match method.need {
-            Need::Bounded(bound) => Some(bound.max(millis(1))),
-            _ => None,
-        });
+        let bound =
+            |m: &Method| if let Need::Bounded(bound) = m.need { Some(bound.max(millis(1))) } else { None };
         let mut router = Router {
             host,
             chance: ChaCha8Rng::seed_from_u64(seed),
-            tightest: bounds.min().unwrap_or(NO_BOUND),
+            tightest: methods.iter().filter_map(bound).min().unwrap_or(NO_BOUND),
             tick: values.span("tick").unwrap_or(millis(1)),
             call_outs: values.number("allowed.call_outs").unwrap_or(1.0) as usize,
             routers: values.number("routers").unwrap_or(1.0).max(1.0),
@@ -169,6 +169,7 @@
                 started: new,
                 limit: FIRST_LIMIT / self.routers,
                 slow: 1.0,
+                pace: 1.0,
                 ..Member::default()
             });
             member.stopped = match entry.condition {
@@ -218,11 +219,11 @@
     pub fn call_ended(&mut self, now: Duration, end: CallEnd) {
         let held = self.held.get_mut(&end.rpc);
         let call = held.and_then(|held| held.calls.get_mut(end.call.0 as usize));
-        let sent = call.map_or(now.saturating_sub(end.took), |call| {
+        let (sent, lost) = call.map_or((now.saturating_sub(end.took), false), |call| {
             call.outcome = Some(end.outcome);
-            call.sent
+            (call.sent, call.lost)
         });
-        self.learn(now, &end, sent);
+        self.learn(now, &end, sent, lost);
         if end.finished {
             self.forget(end.rpc);
         } else if self.held.get(&end.rpc).is_some_and(|held| !held.is_out() && !held.waits) {
@@ -234,10 +235,8 @@
     pub fn probe_ended(&mut self, now: Duration, node: NodeId, answered: bool, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&node) else { return };
         let group = member.group;
-        member.probing = false;
-        member.probe_ended = now;
         // A failed probe drops the node until a later one answers (the design's).
-        member.dropped = !answered;
+        (member.probing, member.probe_ended, member.dropped) = (false, now, !answered);
         if answered {
             (member.missed, member.silent, member.heard) = (0.0, false, Some(now));
         } else {
@@ -308,9 +307,15 @@
         let overload = self.overload_time();
         // Answers a second that the call-outs now out should bring.
         let mut due: BTreeMap<NodeId, f64> = BTreeMap::new();
-        for held in self.held.values() {
-            for call in held.calls.iter().filter(|call| call.outcome.is_none()) {
-                *due.entry(call.node).or_default() += 1.0 / self.methods[held.rpc.method.0].present.max(1e-3);
+        for held in self.held.values_mut() {
+            let present = self.methods[held.rpc.method.0].present.max(1e-3);
+            for call in held.calls.iter_mut().filter(|call| call.outcome.is_none() && !call.lost) {
+                *due.entry(call.node).or_default() += 1.0 / present;
+                // Guards against a node that loses some call-outs and answers the rest: what is lost there would
+                // fill its limit until the last time-out, which for a write is seconds.
+                let member = self.members.get_mut(&call.node).expect("a member is never removed");
+                call.lost = (now - call.sent).as_secs_f64() > LOST * present * member.pace.max(1.0);
+                member.in_flight -= u32::from(call.lost);
             }
         }
         for (node, member) in &mut self.members {
@@ -355,20 +360,25 @@
                 (Some(heard), _) => heard + half,
                 (None, _) => now,
             };
-            let free = !member.probing && !member.stopped && self.values.flag("allowed.probes");
-            if free && due <= now {
+            if member.probing || member.stopped || due > now {
+                continue;
+            }
+            if self.values.flag("allowed.probes") {
                 member.probing = true;
                 self.host.probe(*node);
+            } else {
+                // Without probes the next call-out is what tries a silent node.
+                (member.silent, member.missed) = (false, 0.0);
             }
         }
     }
 
     /// Takes what an ended call-out tells of its node and of its method.
-    fn learn(&mut self, now: Duration, end: &CallEnd, sent: Duration) {
+    fn learn(&mut self, now: Duration, end: &CallEnd, sent: Duration, lost: bool) {
         use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Reset, TimedOut};
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
-        member.in_flight = member.in_flight.saturating_sub(1);
+        member.in_flight -= u32::from(!lost && member.in_flight > 0);
         match end.outcome {
             Ok | Error | Full | Miss => (member.missed, member.silent) = (0.0, false),
             // Guards against a dead process or a cut link: a probe decides before more is lost there.
@@ -378,14 +388,17 @@
         let held = self.held.get(&end.rpc);
         if let Some(method) = held.and_then(|held| self.methods.get_mut(held.rpc.method.0)) {
             let slow = match end.outcome {
-                Ok | TimedOut => Some(took / method.shortest),
+                Ok | TimedOut if !lost => Some(took / method.shortest),
+                Ok | TimedOut => Some(FAILED),
                 Error | Reset | ConnectFailed => Some(FAILED),
                 Full | Miss | NotSent | Cancelled => None,
             };
             if let Some(slow) = slow {
                 member.answers += 1.0;
-                member.slow += (slow - member.slow) * WEIGHT.max(1.0 / (member.answers + 1.0));
-                let ratio = (TOLERANCE / member.slow.max(0.1)).clamp(0.5, 1.0);
+                let weight = WEIGHT.max(1.0 / (member.answers + 1.0));
+                member.slow += (slow - member.slow) * weight;
+                member.pace += if lost { 0.0 } else { (slow - member.pace) * weight };
+                let ratio = (TOLERANCE / member.pace.max(0.1)).clamp(0.5, 1.0);
                 // Only a limit that is nearly reached has shown that it could be wider.
                 let used = f64::from(member.in_flight + 1) > member.limit / 2.0;
                 let target = member.limit * ratio + if used { 1.0 / self.routers } else { 0.0 };
@@ -555,7 +568,11 @@
 
     fn forget(&mut self, id: RpcId) {
         self.leave_line(id);
-        self.held.remove(&id);
+        let Some(held) = self.held.remove(&id) else { return };
+        // What is still out ends later without its RPC, and is then taken off once more.
+        for call in held.calls.iter().filter(|call| call.lost && call.outcome.is_none()) {
+            self.members.get_mut(&call.node).expect("a member is never removed").in_flight += 1;
+        }
     }
 
     /// Sends what waits: first call-outs before further ones, best utility for the work first. Among equals the
@@ -617,7 +634,8 @@
         if let Some((last, _)) = room.last() {
             // Guards against long reads that keep replicas from applying the log: one that takes a good part of the
             // bound goes to the last member in sorted order, the same at all routers, so that the rest keep up.
-            if self.is_long(held) {
+            let method = &self.methods[held.rpc.method.0];
+            if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
                 return Pick::Node(*last);
             }
             let at = self.chance.random_range(0.0..total);
@@ -703,11 +721,6 @@
             || self.members[&node].position.unwrap_or_default() >= self.needed_position(now, held)
     }
 
-    fn is_long(&self, held: &Held) -> bool {
-        let method = &self.methods[held.rpc.method.0];
-        method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64()
-    }
-
     fn needed_position(&self, now: Duration, held: &Held) -> Duration {
         match self.methods[held.rpc.method.0].need {
             Need::Any | Need::Write => Duration::ZERO,
@@ -779,7 +792,7 @@
         member.in_flight += 1;
         member.last_send = now;
         member.cold_sends.push_back((now, method.shortest));
-        held.calls.push(Call { node, sent: now, outcome: None });
+        held.calls.push(Call { node, sent: now, outcome: None, lost: false });
         self.due.insert((held.deadline.saturating_sub(self.tick), id));
         let group = self.groups.entry(member.group).or_default();
         if method.need != Need::Write && group.primary.is_some_and(|(primary, _, _)| primary == node) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     pub limit: f64,
     /// Present answer time against the shortest of each method, failures counted in, over so many answers.
     pub slow: f64,
+    /// The same over what answers tell of queueing alone.
+    pub pace: f64,
     pub answers: f64,
     /// The answers that were due to come since the last one came.
     pub missed: f64,
@@ -92,6 +94,8 @@
     pub node: NodeId,
     pub sent: Duration,
     pub outcome: Option<Outcome>,
+    /// Out for so long that it no longer counts as in flight.
+    pub lost: bool,
 }
 
 pub(crate) struct Held {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -171,3 +171,48 @@
     stage.end(first[0], Outcome::Ok);
     assert!(out(&stage, newest) && !out(&stage, waiting[0]));
 }
+
+#[test]
+fn lost_call_outs_do_not_fill_the_limit() {
+    // A primary that loses some writes and answers the rest must still get the rest.
+    let mut stage = stage(2, 0, &[("routers", Value::Number(16.0))]);
+    for _ in 0..30 {
+        let id = stage.arrive(4, LONG, None);
+        stage.pass(ms(10));
+        stage.end(id, Outcome::Ok);
+    }
+    let lost: Vec<RpcId> = (0..2).map(|_| stage.arrive(4, LONG, None)).collect();
+    let next = stage.arrive(4, LONG, None);
+    assert!(stage.sent_to(lost[1]).len() == 1 && stage.sent_to(next).is_empty(), "a limit is reached");
+    for _ in 0..10 {
+        stage.pass(ms(40));
+        stage.end_probes(|_| true);
+    }
+    assert_eq!(stage.sent_to(next), [node(1)]);
+}
+
+#[test]
+fn a_full_node_rests() {
+    let mut stage = stage(2, 0, &[]);
+    let id = stage.arrive(4, LONG, None);
+    stage.end(id, Outcome::Full);
+    assert_eq!(stage.sent_to(id).len(), 1);
+    stage.pass(ms(100));
+    assert_eq!(stage.sent_to(id).len(), 2);
+}
+
+#[test]
+fn without_probes_a_silent_node_is_tried_again() {
+    let mut stage = Stage::new(2, 1, &[("allowed.probes", Value::Flag(false))]);
+    let reset = stage.arrive(4, LONG, None);
+    stage.end(reset, Outcome::Reset);
+    stage.pass(ms(100));
+    let next = stage.arrive(4, LONG, None);
+    assert_eq!(stage.sent_to(next), [node(1)]);
+}
+
+#[test]
+fn long_any_reads_keep_to_one_member() {
+    let mut stage = stage(4, 0, &[("methods.1.soft_deadline", Value::Span(ms(2400)))]);
+    assert!(sent(&mut stage, 1, None, 6).iter().all(|at| *at == node(4)));
+}
