Limits below one: with many routers a node rests between call-outs

Below one, the limit sets a rest after each answer; together the routers keep at least 8 in flight. Harm: few-slot nodes could still be overfull, many-slot nodes starved a little.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,8 @@
 const TOLERANCE: f64 = 1.15;
 /// What all routers together start with at a node.
 const FIRST_LIMIT: f64 = 16.0;
-const LIMITS: (f64, f64) = (1.0, 256.0);
+/// Together they always keep so many in flight, or one each where they are few.
+const LEAST_LIMIT: f64 = 8.0;
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
 const SHORTEST_FORGETS: f64 = 1.02;
@@ -407,9 +408,12 @@
             if end.outcome == Full {
                 // Guards against answering a full node with the next call-out at once, up to the last one allowed.
                 member.limit /= 2.0;
-                member.full_until = now + HOLD;
+                member.rests_until = now + HOLD;
             }
-            member.limit = member.limit.clamp(LIMITS.0, LIMITS.1);
+            member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
+            // Guards against many routers that each keep just one in flight: below one, the node rests between two.
+            let rest = if lost { 0.0 } else { took * (1.0 / member.limit - 1.0).max(0.0) };
+            member.rests_until = member.rests_until.max(now + Duration::from_secs_f64(rest));
             if end.outcome == Ok {
                 member.carried_now += method.shortest;
                 method.present += (took - method.present) * WEIGHT;
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,8 +70,8 @@
     pub probing: bool,
     pub probe_ended: Duration,
     pub last_send: Duration,
-    /// The node was full: it rests until then.
-    pub full_until: Duration,
+    /// Full, or with a limit below one, the node rests until then.
+    pub rests_until: Duration,
     /// Work answered a second, and since the last sweep.
     pub carried: f64,
     pub carried_now: f64,
@@ -128,7 +128,7 @@
         !(self.stopped || self.dropped || self.silent)
     }
     pub fn has_room(&self, now: Duration) -> bool {
-        f64::from(self.in_flight) < self.limit && self.full_until <= now
+        f64::from(self.in_flight) < self.limit && self.rests_until <= now
     }
 }
 
