--- a/src/logic.rs
+++ b/src/logic.rs
@@ -425,9 +425,6 @@
                 }
             }
         }
-        if end.outcome == NotSent {
-            return;
-        }
         // A primary's position is the present when the answer was made, so it dates the role; without it, the
         // answer is younger than the call-out. A replica's answer counts from when it came.
         match end.role {
@@ -618,18 +615,19 @@
             if Some(*node) == primary || !member.open() || held.tried(*node) {
                 continue;
             }
+            // Where the node would be if it has kept pace since it was heard.
+            let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             if !self.is_current(now, held, *node) {
-                // Guards against a flood of misses while all lag: a try is worth it only where the node would
-                // pass if it has kept pace since it was heard, so that merely its entry has aged.
-                let heard = member.heard.unwrap_or(now);
-                let pace = member.position.unwrap_or_default() + (now - heard);
-                if pace >= self.needed_position(now, held) {
-                    nearest = nearest.max(Some((pace, *node)));
-                }
+                // Guards against a flood of misses while all lag: tried only if merely its entry has aged.
+                let would_pass = pace >= self.needed_position(now, held);
+                nearest = nearest.max(would_pass.then_some((pace, *node)));
                 continue;
             }
             passing = true;
-            let weight = self.room(now, member);
+            // Guards against reads that crowd out the log's thread: limits shrink as a replica nears the bound.
+            let behind = (now.saturating_sub(pace)).div_duration_f64(self.tightest);
+            let ease = if (0.0..1.0).contains(&behind) { 1.0 - behind } else { 1.0 };
+            let weight = self.room(now, member, ease);
             if weight > 0.0 && self.gate(now, id, *node) {
                 total += weight;
                 room.push((*node, total));
@@ -645,18 +643,16 @@
             let at = self.chance.random_range(0.0..total);
             return Pick::Node(room.iter().find(|(_, upto)| at < *upto).map_or(*last, |(node, _)| *node));
         }
-        let may = |node: &NodeId| self.members[node].open() && self.gate(now, id, *node);
-        if let Some(node) = primary.filter(|node| group.share >= 1.0 && may(node))
-            && self.members[&node].has_room(now)
-        {
+        let fit = |member: &Member| member.open() && member.has_room(now);
+        let may = |node: &NodeId| group.share >= 1.0 && fit(&self.members[node]) && self.gate(now, id, *node);
+        if let Some(node) = primary.filter(may) {
             return Pick::Node(node);
         }
         if passing || now < held.arrived + HOLD {
             return Pick::Wait;
         }
-        let checked = self.values.text("replication.read_check") != "none";
-        match nearest {
-            Some((_, node)) if checked && self.gate(now, id, node) => Pick::Node(node),
+        match nearest.filter(|_| self.values.text("replication.read_check") != "none") {
+            Some((_, node)) if self.gate(now, id, node) => Pick::Node(node),
             _ => Pick::Refuse,
         }
     }
@@ -684,8 +680,9 @@
     }
 
     /// Free room at a node, as a weight for the pick.
-    fn room(&self, now: Duration, member: &Member) -> f64 {
-        if !member.has_room(now) {
+    fn room(&self, now: Duration, member: &Member, ease: f64) -> f64 {
+        let free = member.limit * ease - f64::from(member.in_flight);
+        if !member.has_room(now) || free <= 0.0 {
             return 0.0;
         }
         // Guards against nodes that crawl or fail fast. When most look bad the cause is shared, so slowness is
@@ -693,7 +690,7 @@
         if member.slow > CRAWLS * self.median_slow(member.group) {
             return if member.in_flight == 0 && member.last_send + TRICKLE <= now { 0.1 } else { 0.0 };
         }
-        (member.limit - f64::from(member.in_flight)) * self.warmth(now, member)
+        free * self.warmth(now, member)
     }
 
     fn median_slow(&self, group: GroupId) -> f64 {
