Tell repeats from first tries by the time left, and count their soft deadline from the first

Most tries are first ones and clients wait alike for those; any other time left is the rest of the whole deadline. Harm: where clients wait unlike for first tries the votes do not settle and nothing is done, but a large minority could be taken for repeats.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,9 +41,8 @@
 const WEIGHT: f64 = 0.05;
 /// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing keeps nodes busy.
 const TOLERANCE: f64 = 1.15;
-/// What all routers together start with at a node.
+/// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 16.0;
-/// Together they always keep so many in flight, or one each where they are few.
 const LEAST_LIMIT: f64 = 8.0;
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
@@ -61,6 +60,8 @@
 const FURTHER_SAVED: f64 = 20.0;
 /// An RPC is sent only if this multiple of the present answer time is left to it.
 const TIME_NEEDED: f64 = 2.0;
+/// So many more tries must have waited alike before another is taken for a repeat.
+const SURE: f64 = 20.0;
 /// The part of a cold node's permitted load that is used: routers carry unequal traffic.
 const COLD_MARGIN: f64 = 0.75;
 /// At least one call-out to a cold node in this part of the span over which it may be overloaded.
@@ -82,6 +83,8 @@
     tightest: Duration,
     tick: Duration,
     call_outs: usize,
+    remembers: bool,
+    overload: Duration,
     routers: f64,
     swept: Duration,
     armed: Option<Duration>,
@@ -101,6 +104,9 @@
             tightest: methods.iter().filter_map(bound).min().unwrap_or(NO_BOUND),
             tick: values.span("tick").unwrap_or(millis(1)),
             call_outs: values.number("allowed.call_outs").unwrap_or(1.0) as usize,
+            ask_at: (values.text("discovery") == "subscribe").then_some(now),
+            remembers: values.text("replication.session_marks") == "remembered",
+            overload: values.span("rules.overload_time").unwrap_or(millis(1000)),
             routers: values.number("routers").unwrap_or(1.0).max(1.0),
             values,
             methods,
@@ -111,13 +117,10 @@
             tokens: BTreeMap::new(),
             swept: now,
             armed: None,
-            ask_at: None,
             ask_wait: ASK_AGAIN,
             further: FURTHER_SAVED,
         };
-        if router.values.text("discovery") == "subscribe" {
-            router.host.watch_list();
-        }
+        router.sweep(now);
         router.arm(now);
         router
     }
@@ -144,11 +147,13 @@
             _ => Repeats::Never,
         };
         let utility = values.number(&path("utility")).unwrap_or(1.0);
-        let late_utility = utility * values.number(&path("late_utility")).unwrap_or(0.0);
+        let late = utility * values.number(&path("late_utility")).unwrap_or(0.0);
         // Until answers tell, an RPC is taken to need a quarter of its soft deadline.
         let guess = soft.as_secs_f64() / 4.0;
         let span = (now + SHORTEST_SPAN, 0.0, 0.0);
-        Some(Method { need, repeats, soft, utility, late_utility, present: guess, shortest: guess, span })
+        let deadline = values.span(&path("deadline")).unwrap_or(soft);
+        let (present, shortest, first_try) = (guess, guess, (Duration::ZERO, 0.0));
+        Some(Method { need, repeats, soft, deadline, first_try, utility, late, present, shortest, span })
     }
 
     pub fn list_changed(&mut self, now: Duration, extent: Extent, list: &[Listed]) {
@@ -198,19 +203,28 @@
 
     pub fn rpc_arrived(&mut self, now: Duration, rpc: Rpc) {
         let (id, group_id) = (rpc.id, rpc.group);
-        let Some(method) = self.methods.get(rpc.method.0) else { return self.host.abort(id) };
+        let Some(method) = self.methods.get_mut(rpc.method.0) else { return self.host.abort(id) };
+        // Guards against serving repeats that come too late to be of use. Most tries are first ones, and clients wait
+        // alike for those; another time left is what remains of the whole deadline.
+        let (usual, votes) = method.first_try;
+        let first = rpc.remaining.abs_diff(usual) < method.deadline / 50;
+        let vote = if first { 1.0 } else { -1.0 };
+        method.first_try = if votes == 0.0 { (rpc.remaining, 1.0) } else { (usual, votes + vote) };
+        let gone = method.deadline.saturating_sub(rpc.remaining);
+        let passed = if first || votes <= SURE { Duration::ZERO } else { gone };
+        let (soft, writes) = ((now + method.soft).saturating_sub(passed), method.need == Need::Write);
         let token = match rpc.session {
-            Some(session) if self.remembers() => {
+            Some(session) if self.remembers => {
                 let passed = self.groups.get(&group_id).and_then(|group| group.passed);
                 self.tokens.get(&(group_id, session)).copied().or(passed)
             }
             _ => rpc.since_write.map(|since| now.saturating_sub(since)),
         };
         let group = self.groups.entry(group_id).or_default();
-        if method.need != Need::Write {
+        if !writes {
             group.share = (group.share + PRIMARY_SHARE).min(PRIMARY_SAVED);
         }
-        let (soft, deadline) = (now + method.soft, now + rpc.remaining);
+        let deadline = now + rpc.remaining;
         let held = Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false };
         self.held.insert(id, held);
         self.line_up(now, id);
@@ -244,9 +258,7 @@
             self.lose_primary(now, group, node);
             self.call_back(node);
         }
-        if let Some(report) = report {
-            self.note_report(now, node, &report);
-        }
+        self.note_report(now, node, report.as_ref());
         self.settle(now, group);
     }
 
@@ -294,18 +306,13 @@
         }
     }
 
-    fn remembers(&self) -> bool {
-        self.values.text("replication.session_marks") == "remembered"
-    }
-
     fn sweep(&mut self, now: Duration) {
         if self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
             self.host.watch_list();
         }
-        let passed = now.saturating_sub(self.swept).as_secs_f64();
+        let passed = now.saturating_sub(self.swept).as_secs_f64().max(1e-6);
         self.swept = now;
-        let overload = self.overload_time();
         // Answers a second that the call-outs now out should bring.
         let mut due: BTreeMap<NodeId, f64> = BTreeMap::new();
         for held in self.held.values_mut() {
@@ -320,11 +327,9 @@
             }
         }
         for (node, member) in &mut self.members {
-            if passed > 0.0 {
-                let new = 1.0 - (-passed / 2.0).exp();
-                member.carried += (std::mem::take(&mut member.carried_now) / passed - member.carried) * new;
-            }
-            while member.cold_sends.front().is_some_and(|(at, _)| *at + overload < now) {
+            let new = 1.0 - (-passed / 2.0).exp();
+            member.carried += (std::mem::take(&mut member.carried_now) / passed - member.carried) * new;
+            while member.cold_sends.front().is_some_and(|(at, _)| *at + self.overload < now) {
                 member.cold_sends.pop_front();
             }
             // Guards against a node that hangs, dies or is cut off without a word: when the answers that are
@@ -435,7 +440,7 @@
         if let Some(position) = end.position {
             // A commit is rounded up, all else down.
             self.note_position(now, end.node, position.saturating_sub(millis(1)));
-            let held = self.held.get(&end.rpc).filter(|_| end.outcome == Ok && self.remembers());
+            let held = self.held.get(&end.rpc).filter(|_| end.outcome == Ok && self.remembers);
             if let Some(session) = held.and_then(|held| held.rpc.session)
                 && held.is_some_and(|held| self.methods[held.rpc.method.0].need == Need::Write)
             {
@@ -443,17 +448,17 @@
                 *token = position.max(*token);
             }
         }
-        if let Some(report) = &end.report {
-            self.note_report(now, end.node, report);
-        }
+        self.note_report(now, end.node, end.report.as_ref());
         if matches!(end.outcome, ConnectFailed | Reset) {
             self.probe_old(now);
         }
     }
 
     /// A report is old: the position in it is the least age that its word on the role can have.
-    fn note_report(&mut self, now: Duration, node: NodeId, report: &Report) {
-        let Some(position) = report.position else { return };
+    fn note_report(&mut self, now: Duration, node: NodeId, report: Option<&Report>) {
+        let Some((report, position)) = report.and_then(|report| Some((report, report.position?))) else {
+            return;
+        };
         self.note_position(now, node, position);
         if let Some(primary) = report.primary {
             let role = if primary { Role::Primary } else { Role::Replica };
@@ -514,7 +519,7 @@
     /// When an answer stops being of use, or the client stops waiting.
     fn ends(&self, held: &Held) -> Duration {
         let last = held.deadline.saturating_sub(2 * self.tick);
-        if self.methods[held.rpc.method.0].late_utility > 0.0 { last } else { last.min(held.soft) }
+        if self.methods[held.rpc.method.0].late > 0.0 { last } else { last.min(held.soft) }
     }
 
     /// The last moment at which sending the RPC is still of use.
@@ -711,10 +716,6 @@
         from + (1.0 - from) * age.as_secs_f64() / time.as_secs_f64()
     }
 
-    fn overload_time(&self) -> Duration {
-        self.values.span("rules.overload_time").unwrap_or(millis(1000))
-    }
-
     /// Whether rule 5 lets this node answer this read: by a position that was told, or by being the primary.
     fn is_current(&self, now: Duration, held: &Held, node: NodeId) -> bool {
         let primary = self.groups[&held.rpc.group].primary;
@@ -767,7 +768,7 @@
         if warmth >= 1.0 {
             return true;
         }
-        let span = self.overload_time();
+        let span = self.overload;
         let like = |m: &&Member| m.open() && m.kind == member.kind && self.warmth(now, m) >= 1.0;
         let warm = self.members.values().filter(like).map(|m| m.carried).fold(0.0, f64::max);
         let multiple = self.values.number("rules.fall_multiple").unwrap_or(1.0) * COLD_MARGIN;
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,8 +36,11 @@
     pub need: Need,
     pub repeats: Repeats,
     pub soft: Duration,
+    pub deadline: Duration,
+    /// How long clients wait for a first try, by majority, and by how many votes.
+    pub first_try: (Duration, f64),
     pub utility: f64,
-    pub late_utility: f64,
+    pub late: f64,
     /// Mean answer time at present and the shortest such mean, in seconds.
     pub present: f64,
     pub shortest: f64,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -216,3 +216,18 @@
     let mut stage = stage(4, 0, &[("methods.1.soft_deadline", Value::Span(ms(2400)))]);
     assert!(sent(&mut stage, 1, None, 6).iter().all(|at| *at == node(4)));
 }
+
+#[test]
+fn a_repeat_past_its_soft_deadline_is_not_served() {
+    // First tries wait 300 ms here, and the whole deadline is 600 ms: 250 ms left tell that 350 ms have gone.
+    let mut stage = stage(4, 0, &[("methods.1.deadline", Value::Span(ms(600)))]);
+    for _ in 0..30 {
+        let id = stage.arrive(1, ms(300), None);
+        stage.end(id, Outcome::Ok);
+    }
+    let late = stage.arrive(1, ms(250), None);
+    stage.pass(ms(1));
+    assert!(stage.sent_to(late).is_empty() && stage.answer(late) == Some("pushed back"));
+    let early = stage.arrive(1, ms(550), None);
+    assert_eq!(stage.sent_to(early).len(), 1, "50 ms gone leave time enough");
+}
