--- a/src/logic.rs
+++ b/src/logic.rs
@@ -210,9 +210,9 @@
         let first = rpc.remaining.abs_diff(usual) < method.deadline / 50;
         let vote = if first { 1.0 } else { -1.0 };
         method.first_try = if votes == 0.0 { (rpc.remaining, 1.0) } else { (usual, votes + vote) };
-        let gone = method.deadline.saturating_sub(rpc.remaining);
-        let passed = if first || votes <= SURE { Duration::ZERO } else { gone };
-        let (soft, writes) = ((now + method.soft).saturating_sub(passed), method.need == Need::Write);
+        let left = if first || votes <= SURE { method.deadline } else { rpc.remaining };
+        let soft = (now + method.soft).saturating_sub(method.deadline.saturating_sub(left));
+        let share = if method.need == Need::Write { 0.0 } else { PRIMARY_SHARE };
         let token = match rpc.session {
             Some(session) if self.remembers => {
                 let passed = self.groups.get(&group_id).and_then(|group| group.passed);
@@ -221,9 +221,7 @@
             _ => rpc.since_write.map(|since| now.saturating_sub(since)),
         };
         let group = self.groups.entry(group_id).or_default();
-        if !writes {
-            group.share = (group.share + PRIMARY_SHARE).min(PRIMARY_SAVED);
-        }
+        group.share = (group.share + share).min(PRIMARY_SAVED);
         let deadline = now + rpc.remaining;
         let held = Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false };
         self.held.insert(id, held);
@@ -430,8 +428,7 @@
                 }
             }
         }
-        // A primary's position is the present when the answer was made, so it dates the role; without it, the
-        // answer is younger than the call-out. A replica's answer counts from when it came.
+        // A primary's position dates its answer, or else the send does; a replica's counts from when it came.
         match end.role {
             Some(Role::Replica) => self.note_role(now, end.node, Role::Replica, now, true),
             Some(role) => self.note_role(now, end.node, role, end.position.unwrap_or(sent), true),
@@ -525,7 +522,9 @@
     /// The last moment at which sending the RPC is still of use.
     fn last_use(&self, held: &Held) -> Duration {
         let needed = Duration::from_secs_f64(self.methods[held.rpc.method.0].present * TIME_NEEDED);
-        self.ends(held).saturating_sub(needed).max(held.arrived)
+        // Guards against a method that is never sent again, so that its answer time is never seen to fall.
+        let end = self.ends(held);
+        end - needed.min(end.saturating_sub(held.arrived) / 2)
     }
 
     fn line_up(&mut self, now: Duration, id: RpcId) {
