--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -215,9 +215,6 @@
     fn watch_list(&mut self) {
         self.put(format_args!("LISTEN Who={} Want=1", self.who));
     }
-    fn fetch_list(&mut self) {
-        self.put(format_args!("FETCH Who={}", self.who));
-    }
     fn wake(&mut self, after: Duration) {
         // Rounded up to the wire's microsecond: a timer that fired early would find nothing due.
         let after = after.as_nanos().div_ceil(1000) as f64 / 1000.0;
--- a/src/host.rs
+++ b/src/host.rs
@@ -45,8 +45,6 @@
     fn probe(&mut self, node: NodeId);
     /// Asks for changes to the node list from now on.
     fn watch_list(&mut self);
-    /// Asks for the whole node list once.
-    fn fetch_list(&mut self);
     /// Asks for one call of `timer_fired` after this span. It cannot be taken back.
     fn wake(&mut self, after: Duration);
     fn log(&mut self, line: &str);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,11 +4,13 @@
 //!
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
-//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
+//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one, and
+//!    shrinks further as a replica nears the bound.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, on a budget.
 //! 3. Health: a node that fails, crawls or falls silent loses its share and wins it back by probe or trickle.
 //! 4. Cold budget: what a node that has just started may be sent.
-//! 5. Giving up: what can no longer be of use is ended early, with a time to come back.
+//! 5. Giving up: what can no longer be of use, repeats above all, is ended early, with a time to come back.
+//! 6. Long any-reads keep to one member, so that the others apply the log.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -90,14 +92,14 @@
     armed: Option<Duration>,
     ask_at: Option<Duration>,
     ask_wait: Duration,
+    ask_every: Duration,
     further: f64,
 }
 
 impl<H: Host> Router<H> {
     pub fn new(host: H, seed: u64, values: ValueMap, now: Duration) -> Self {
         let methods: Vec<Method> = (0..).map_while(|place| Self::method(&values, place, now)).collect();
-        let bound =
-            |m: &Method| if let Need::Bounded(bound) = m.need { Some(bound.max(millis(1))) } else { None };
+        let bound = |m: &Method| if let Need::Bounded(at) = m.need { Some(at.max(millis(1))) } else { None };
         let mut router = Router {
             host,
             chance: ChaCha8Rng::seed_from_u64(seed),
@@ -105,6 +107,7 @@
             tick: values.span("tick").unwrap_or(millis(1)),
             call_outs: values.number("allowed.call_outs").unwrap_or(1.0) as usize,
             ask_at: (values.text("discovery") == "subscribe").then_some(now),
+            ask_every: values.span("rules.ask_every").unwrap_or(millis(10_000)),
             remembers: values.text("replication.session_marks") == "remembered",
             overload: values.span("rules.overload_time").unwrap_or(millis(1000)),
             routers: values.number("routers").unwrap_or(1.0).max(1.0),
@@ -129,12 +132,11 @@
     fn method(values: &ValueMap, place: usize, now: Duration) -> Option<Method> {
         let path = |name: &str| format!("methods.{place}.{name}");
         let soft = values.span(&path("soft_deadline"))?;
+        let bound = values.span(&format!("replication.bound.{place}")).unwrap_or_default();
         let need = match values.text(&format!("replication.needs.{place}")) {
             "write" => Need::Write,
             "session" => Need::Session,
-            "bounded" => {
-                Need::Bounded(values.span(&format!("replication.bound.{place}")).unwrap_or_default())
-            }
+            "bounded" => Need::Bounded(bound),
             "any" => Need::Any,
             _ => Need::Fresh,
         };
@@ -158,6 +160,7 @@
 
     pub fn list_changed(&mut self, now: Duration, extent: Extent, list: &[Listed]) {
         self.ask_wait = ASK_AGAIN;
+        self.ask_at = self.ask_at.filter(|_| extent == Extent::Remembered);
         // Where only listed drains bind, a node that has dropped out of the list may still be sent to.
         let gone_stays = self.values.flag("rules.only_listed_drains");
         if extent != Extent::Changes && !gone_stays {
@@ -196,7 +199,7 @@
 
     /// The notice does not say whether a watch stands; asking anew is always allowed and keeps the duty to ask.
     pub fn list_failed(&mut self, now: Duration) {
-        let longest = self.values.span("rules.ask_every").unwrap_or(millis(10_000)) / 4;
+        let longest = self.ask_every / 4;
         self.ask_at = Some(now + self.ask_wait.min(longest));
         self.ask_wait = (self.ask_wait * 2).min(longest);
     }
@@ -306,7 +309,8 @@
 
     fn sweep(&mut self, now: Duration) {
         if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
+            // Guards against a call that is never answered: asked anew in time for the duty to ask.
+            self.ask_at = Some(now + self.ask_every / 2);
             self.host.watch_list();
         }
         let passed = now.saturating_sub(self.swept).as_secs_f64().max(1e-6);
@@ -321,7 +325,7 @@
                 // fill its limit until the last time-out, which for a write is seconds.
                 let member = self.members.get_mut(&call.node).expect("a member is never removed");
                 call.lost = (now - call.sent).as_secs_f64() > LOST * present * member.pace.max(1.0);
-                member.in_flight -= u32::from(call.lost);
+                member.in_flight = member.in_flight.saturating_sub(u32::from(call.lost));
             }
         }
         for (node, member) in &mut self.members {
