RPCs past a tenant's share wait in the second line

Each router takes an equal part of a tenant's quota. Guards against one tenant crowding out the rest; harm: where routers carry unequal traffic a busy one takes fair RPCs for excess, which then only wait.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,8 +4,7 @@
 //!
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
-//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one, and
-//!    shrinks further as a replica nears the bound.
+//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, on a budget.
 //! 3. Health: a node that fails, crawls or falls silent loses its share and wins it back by probe or trickle.
 //! 4. Cold budget: what a node that has just started may be sent.
@@ -20,7 +19,7 @@
 
 use crate::host::{
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
-    RpcId, SessionKey, ValueMap,
+    RpcId, SessionKey, TenantId, ValueMap,
 };
 use crate::state::{Call, Group, Held, Member, Method, Need, Pick, Repeats, Scope};
 
@@ -80,8 +79,7 @@
     groups: BTreeMap<GroupId, Group>,
     held: BTreeMap<RpcId, Held>,
     due: BTreeSet<(Duration, RpcId)>,
-    /// Commits of the sessions whose writes went through here.
-    tokens: BTreeMap<(GroupId, SessionKey), Duration>,
+    tokens: BTreeMap<(GroupId, SessionKey), Duration>, // commits of the sessions that wrote through here
     tightest: Duration,
     tick: Duration,
     call_outs: usize,
@@ -94,6 +92,7 @@
     ask_wait: Duration,
     ask_every: Duration,
     further: f64,
+    shares: BTreeMap<TenantId, (f64, Duration)>,
 }
 
 impl<H: Host> Router<H> {
@@ -122,6 +121,7 @@
             armed: None,
             ask_wait: ASK_AGAIN,
             further: FURTHER_SAVED,
+            shares: BTreeMap::new(),
         };
         router.sweep(now);
         router.arm(now);
@@ -163,10 +163,9 @@
         self.ask_at = self.ask_at.filter(|_| extent == Extent::Remembered);
         // Where only listed drains bind, a node that has dropped out of the list may still be sent to.
         let gone_stays = self.values.flag("rules.only_listed_drains");
-        if extent != Extent::Changes && !gone_stays {
-            for (node, member) in &mut self.members {
-                member.stopped |= !list.iter().any(|entry| entry.node == *node);
-            }
+        let missing_is_gone = extent != Extent::Changes && !gone_stays;
+        for (node, member) in &mut self.members {
+            member.stopped |= missing_is_gone && !list.iter().any(|entry| entry.node == *node);
         }
         // A node that is new on a list known before has just started, even if no time is told.
         let new = (!self.members.is_empty() && extent == Extent::Changes).then_some(now);
@@ -225,8 +224,16 @@
         };
         let group = self.groups.entry(group_id).or_default();
         group.share = (group.share + share).min(PRIMARY_SAVED);
+        // Each tenant's saved-up share of this router's part of its quota, a second's worth at most.
+        let quota =
+            self.values.number(&format!("tenants.{}.quota", rpc.tenant.0)).unwrap_or(f64::MAX) / self.routers;
+        let (saved, at) = self.shares.get(&rpc.tenant).copied().unwrap_or((quota, now));
+        let saved = (saved + quota * (now - at).as_secs_f64()).min(quota);
+        let over_share = saved < 1.0;
+        self.shares.insert(rpc.tenant, (saved - f64::from(u8::from(!over_share)), now));
         let deadline = now + rpc.remaining;
-        let held = Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false };
+        let held =
+            Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false, over_share };
         self.held.insert(id, held);
         self.line_up(now, id);
         self.settle(now, group_id);
@@ -315,8 +322,7 @@
         }
         let passed = now.saturating_sub(self.swept).as_secs_f64().max(1e-6);
         self.swept = now;
-        // Answers a second that the call-outs now out should bring.
-        let mut due: BTreeMap<NodeId, f64> = BTreeMap::new();
+        let mut due: BTreeMap<NodeId, f64> = BTreeMap::new(); // answers a second that what is out should bring
         for held in self.held.values_mut() {
             let present = self.methods[held.rpc.method.0].present.max(1e-3);
             for call in held.calls.iter_mut().filter(|call| call.outcome.is_none() && !call.lost) {
@@ -339,8 +345,7 @@
             member.missed += passed * due.get(node).copied().unwrap_or_default() / member.slow.max(1.0);
             member.silent |= member.missed > SILENT;
         }
-        // A remembered commit that all members have passed excludes nobody, but for one that comes back later: the
-        // newest commit dropped so stands in for all of them.
+        // What all members have passed excludes only one that comes back later: the newest dropped stands in for all.
         let (members, groups) = (&self.members, &mut self.groups);
         self.tokens.retain(|(id, _), token| {
             let behind = |m: &Member| m.group == *id && !m.stopped && m.position < Some(*token);
@@ -465,10 +470,8 @@
     }
 
     fn note_position(&mut self, now: Duration, node: NodeId, position: Duration) {
-        if let Some(member) = self.members.get_mut(&node) {
-            member.position = member.position.max(Some(position.min(now)));
-            member.heard = Some(now);
-        }
+        let Some(member) = self.members.get_mut(&node) else { return };
+        (member.position, member.heard) = (member.position.max(Some(position.min(now))), Some(now));
     }
 
     /// The newest evidence of a role wins; `proven` is what an answer itself says, and not a report.
@@ -565,10 +568,9 @@
         let harmless = matches!(repeats, Repeats::Always | Repeats::Tokened(Scope::All, _))
             || held.may_have_run().next().is_none();
         self.forget(id);
-        if harmless {
-            self.host.push_back(id, retry_after);
-        } else {
-            self.host.abort(id);
+        match harmless {
+            true => self.host.push_back(id, retry_after),
+            false => self.host.abort(id),
         }
     }
 
@@ -699,7 +701,7 @@
     }
 
     fn median_slow(&self, group: GroupId) -> f64 {
-        let live = self.members.values().filter(|member| member.group == group && member.open());
+        let live = self.members.values().filter(|m| m.group == group && m.open());
         let mut slow: Vec<f64> = live.map(|member| member.slow).collect();
         slow.sort_by(f64::total_cmp);
         slow.get(slow.len() / 2).copied().unwrap_or(1.0).max(1.0)
@@ -709,11 +711,9 @@
     fn warmth(&self, now: Duration, member: &Member) -> f64 {
         let from = self.values.number("rules.cold_from").unwrap_or(1.0);
         let time = self.values.span("rules.cold_time").unwrap_or_default();
-        let Some(age) = member.started.map(|started| now.saturating_sub(started)).filter(|age| *age < time)
-        else {
-            return 1.0;
-        };
-        from + (1.0 - from) * age.as_secs_f64() / time.as_secs_f64()
+        let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
+        let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
+        from + (1.0 - from) * part
     }
 
     /// Whether rule 5 lets this node answer this read: by a position that was told, or by being the primary.
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,8 @@
     pub token: Option<Duration>,
     pub calls: Vec<Call>,
     pub waits: bool,
+    /// Its tenant is past its share: served after the rest.
+    pub over_share: bool,
 }
 
 impl Held {
@@ -122,7 +124,7 @@
         self.calls.iter().any(|call| call.node == node)
     }
     pub fn line(&self) -> (bool, MethodId) {
-        (!self.calls.is_empty(), self.rpc.method)
+        (self.over_share || !self.calls.is_empty(), self.rpc.method)
     }
 }
 
