--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Reads batches of events on standard input, lets one router decide for each instance, and writes the replies.
+//! Reads batches of events on standard input, lets a router decide for each instance, and replies.
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,4 +1,4 @@
-//! The interface of the decision module: what it asks of its host, and the plain data that passes between them.
+//! The interface of the decision module: what it asks of its host, and the plain data that passes.
 //!
 //! All times are spans on one clock that every router reads and that only goes forward. A log position is a
 //! time on the same clock.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,6 @@
-//! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call one
-//! method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`, `probe_ended`,
-//! `client_left`, `timer_fired`. It acts by calling the [`Host`] it was given; see `host.rs` for that interface.
+//! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
+//! its one method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`,
+//! `probe_ended`, `client_left`, `timer_fired`. It acts by calling the [`Host`] it was given (see `host.rs`).
 //!
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
@@ -40,7 +40,7 @@
 const DROPPED_PROBE: Duration = millis(250);
 /// What one answer weighs: some twenty make up a node's present answer time.
 const WEIGHT: f64 = 0.05;
-/// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing keeps nodes busy.
+/// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing is good.
 const TOLERANCE: f64 = 1.15;
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 16.0;
@@ -187,7 +187,7 @@
             };
             member.started = member.started.max(entry.started);
             let group = self.groups.entry(entry.group).or_default();
-            // The list's word on the role is late: it names a primary only where no answer has said otherwise.
+            // The list's word on the role is late: it names a primary only where no answer says otherwise.
             if entry.primary && group.primary.is_none() && member.role.is_none_or(|(_, at)| at < group.lost) {
                 group.primary = Some((entry.node, Duration::ZERO, false));
             }
@@ -196,7 +196,7 @@
         self.arm(now);
     }
 
-    /// The notice does not say whether a watch stands; asking anew is always allowed and keeps the duty to ask.
+    /// The notice does not say whether a watch stands; asking anew is always allowed and keeps the duty.
     pub fn list_failed(&mut self, now: Duration) {
         let longest = self.ask_every / 4;
         self.ask_at = Some(now + self.ask_wait.min(longest));
@@ -206,8 +206,8 @@
     pub fn rpc_arrived(&mut self, now: Duration, rpc: Rpc) {
         let (id, group_id) = (rpc.id, rpc.group);
         let Some(method) = self.methods.get_mut(rpc.method.0) else { return self.host.abort(id) };
-        // Guards against serving repeats that come too late to be of use. Most tries are first ones, and clients wait
-        // alike for those; another time left is what remains of the whole deadline.
+        // Guards against serving repeats that come too late to be of use. Most tries are first ones, and clients
+        // wait alike for those; another time left is what remains of the whole deadline.
         let (usual, votes) = method.first_try;
         let first = rpc.remaining.abs_diff(usual) < method.deadline / 50;
         let vote = if first { 1.0 } else { -1.0 };
@@ -322,13 +322,13 @@
         }
         let passed = now.saturating_sub(self.swept).as_secs_f64().max(1e-6);
         self.swept = now;
-        let mut due: BTreeMap<NodeId, f64> = BTreeMap::new(); // answers a second that what is out should bring
+        let mut due: BTreeMap<NodeId, f64> = BTreeMap::new(); // answers a second that should come
         for held in self.held.values_mut() {
             let present = self.methods[held.rpc.method.0].present.max(1e-3);
             for call in held.calls.iter_mut().filter(|call| call.outcome.is_none() && !call.lost) {
                 *due.entry(call.node).or_default() += 1.0 / present;
-                // Guards against a node that loses some call-outs and answers the rest: what is lost there would
-                // fill its limit until the last time-out, which for a write is seconds.
+                // Guards against a node that loses some call-outs and answers the rest: what is lost would fill
+                // its limit until the last time-out, which for a write is seconds.
                 let member = self.members.get_mut(&call.node).expect("a member is never removed");
                 call.lost = (now - call.sent).as_secs_f64() > LOST * present * member.pace.max(1.0);
                 member.in_flight = member.in_flight.saturating_sub(u32::from(call.lost));
@@ -345,7 +345,7 @@
             member.missed += passed * due.get(node).copied().unwrap_or_default() / member.slow.max(1.0);
             member.silent |= member.missed > SILENT;
         }
-        // What all members have passed excludes only one that comes back later: the newest dropped stands in for all.
+        // What all members have passed excludes only one that comes back later: the newest stands in for all.
         let (members, groups) = (&self.members, &mut self.groups);
         self.tokens.retain(|(id, _), token| {
             let behind = |m: &Member| m.group == *id && !m.stopped && m.position < Some(*token);
@@ -360,7 +360,7 @@
         }
     }
 
-    /// Probes entries that are older than half the tightest bound, or whose position is about to fall behind it.
+    /// Probes entries that are older than half the tightest bound, or whose position soon falls behind it.
     fn probe_old(&mut self, now: Duration) {
         let (half, least) = (self.tightest / 2, self.tightest / SWEEPS_PER_BOUND);
         for (node, member) in &mut self.members {
@@ -415,12 +415,12 @@
                 member.limit += (target - member.limit) * WEIGHT;
             }
             if end.outcome == Full {
-                // Guards against answering a full node with the next call-out at once, up to the last one allowed.
+                // Guards against answering a full node with the next call-out at once, up to the last.
                 member.limit /= 2.0;
                 member.rests_until = now + HOLD;
             }
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
-            // Guards against many routers that each keep just one in flight: below one, the node rests between two.
+            // Guards against many routers with one in flight each: below one, the node rests between two.
             let rest = if lost { 0.0 } else { took * (1.0 / member.limit - 1.0).max(0.0) };
             member.rests_until = member.rests_until.max(now + Duration::from_secs_f64(rest));
             if end.outcome == Ok {
@@ -583,8 +583,8 @@
         }
     }
 
-    /// Sends what waits: first call-outs before further ones, best utility for the work first. Among equals the
-    /// one with most time left: under overload the oldest would only be served when it is of no use any more.
+    /// Sends what waits: first call-outs before further ones, best utility for the work first. Among equals
+    /// the one with most time left: under overload the oldest would only be served when it is of no use any more.
     fn dispatch(&mut self, now: Duration, group: GroupId) {
         for further in [false, true] {
             let mut blocked = BTreeSet::new();
@@ -631,7 +631,7 @@
                 continue;
             }
             passing = true;
-            // Guards against reads that crowd out the log's thread: limits shrink as a replica nears the bound.
+            // Guards against reads that crowd out the log's thread: limits shrink towards the bound.
             let behind = (now.saturating_sub(pace)).div_duration_f64(self.tightest);
             let ease = if (0.0..1.0).contains(&behind) { 1.0 - behind } else { 1.0 };
             let weight = self.room(now, member, ease);
@@ -641,8 +641,8 @@
             }
         }
         if let Some((last, _)) = room.last() {
-            // Guards against long reads that keep replicas from applying the log: one that takes a good part of the
-            // bound goes to the last member in sorted order, the same at all routers, so that the rest keep up.
+            // Guards against long reads that keep replicas from applying the log: one that takes a good part of
+            // the bound goes to the last member in sorted order, the same at all routers, and the rest keep up.
             let method = &self.methods[held.rpc.method.0];
             if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
                 return Pick::Node(*last);
@@ -692,8 +692,8 @@
         if !member.has_room(now) || free <= 0.0 {
             return 0.0;
         }
-        // Guards against nodes that crawl or fail fast. When most look bad the cause is shared, so slowness is
-        // held against the group's median.
+        // Guards against nodes that crawl or fail fast. When most look bad the cause is shared, so slowness
+        // is held against the group's median.
         if member.slow > CRAWLS * self.median_slow(member.group) {
             return if member.in_flight == 0 && member.last_send + TRICKLE <= now { 0.1 } else { 0.0 };
         }
@@ -761,8 +761,8 @@
         repeat && !member.stopped && fresh && self.is_within_cold_budget(now, member, method.shortest)
     }
 
-    /// What warm nodes of the kind are seen to carry for this router, times the part of it that the cold node has
-    /// by now, times most of the permitted multiple. Every router keeps to its own part, so all together do.
+    /// What the busiest warm node of the kind is seen to carry for this router, times the part of it that the
+    /// cold node has by now, times most of the permitted multiple. Each router keeps to its part of the sum.
     fn is_within_cold_budget(&self, now: Duration, member: &Member, work: f64) -> bool {
         let warmth = self.warmth(now, member);
         if warmth >= 1.0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,7 +83,7 @@
 
 #[derive(Default)]
 pub(crate) struct Group {
-    /// The primary, the time of the newest evidence, and whether an answer itself (not a report) has proven it.
+    /// The primary, the time of the newest evidence, and whether an answer itself has proven it.
     pub primary: Option<(NodeId, Duration, bool)>,
     /// When the last primary was lost: who has answered as a replica since then is left out of the search.
     pub lost: Duration,
