--- a/src/logic.rs
+++ b/src/logic.rs
@@ -206,8 +206,8 @@
     pub fn rpc_arrived(&mut self, now: Duration, rpc: Rpc) {
         let (id, group_id) = (rpc.id, rpc.group);
         let Some(method) = self.methods.get_mut(rpc.method.0) else { return self.host.abort(id) };
-        // Guards against serving repeats that come too late to be of use. Most tries are first ones, and clients
-        // wait alike for those; another time left is what remains of the whole deadline.
+        // Guards against serving repeats too late to be of use. Most tries are first ones, and clients wait
+        // alike for those; another time left is what remains of the whole deadline.
         let (usual, votes) = method.first_try;
         let first = rpc.remaining.abs_diff(usual) < method.deadline / 50;
         let vote = if first { 1.0 } else { -1.0 };
@@ -327,7 +327,7 @@
             let present = self.methods[held.rpc.method.0].present.max(1e-3);
             for call in held.calls.iter_mut().filter(|call| call.outcome.is_none() && !call.lost) {
                 *due.entry(call.node).or_default() += 1.0 / present;
-                // Guards against a node that loses some call-outs and answers the rest: what is lost would fill
+                // Guards against a node that loses some call-outs and answers the rest: the lost would fill
                 // its limit until the last time-out, which for a write is seconds.
                 let member = self.members.get_mut(&call.node).expect("a member is never removed");
                 call.lost = (now - call.sent).as_secs_f64() > LOST * present * member.pace.max(1.0);
@@ -583,8 +583,8 @@
         }
     }
 
-    /// Sends what waits: first call-outs before further ones, best utility for the work first. Among equals
-    /// the one with most time left: under overload the oldest would only be served when it is of no use any more.
+    /// Sends what waits: first call-outs before further ones, best utility for the work first, and among
+    /// equals the one with most time left: in overload the oldest would be served when of no use.
     fn dispatch(&mut self, now: Duration, group: GroupId) {
         for further in [false, true] {
             let mut blocked = BTreeSet::new();
@@ -641,8 +641,8 @@
             }
         }
         if let Some((last, _)) = room.last() {
-            // Guards against long reads that keep replicas from applying the log: one that takes a good part of
-            // the bound goes to the last member in sorted order, the same at all routers, and the rest keep up.
+            // Guards against long reads that keep replicas from applying the log: one that takes much of the
+            // bound goes to the last member in sorted order, alike at all routers, and the rest keep up.
             let method = &self.methods[held.rpc.method.0];
             if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
                 return Pick::Node(*last);
