Probe only what reads will use, on a budget; overlapping defences folded and cut

Now a group's freshest entries are kept fresh for as many as this router's reads use, two others are asked where a read finds none, aged entries are tried where nodes check for themselves, and each RPC earns probes so that they cost a hundredth of the result at most.

Dropped and silent are now one state.

--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -362,7 +362,7 @@
             }
             "VANISHED" => {
                 let rpc = fields.rpc()?;
-                Box::new(move |router| router.client_left(now, rpc))
+                Box::new(move |router| router.client_left(rpc))
             }
             "FIRED" => Box::new(move |router| router.timer_fired(now)),
             // No stream starts where none is allowed, and routers have no word for each other.
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::host::{GroupId, MethodId, NodeId, Outcome, Role, Rpc, RpcId, ZoneId};
+use crate::host::{CallNo, GroupId, MethodId, NodeId, Outcome, Role, Rpc, RpcId, ZoneId};
 
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Need {
@@ -59,18 +59,20 @@
     pub position: Option<Duration>,
     pub heard: Option<Duration>,
     pub role: Option<(Role, Duration)>,
-    pub in_flight: u32,
+    pub out: Vec<Out>,
     pub limit: f64,
-    /// Present answer time against the shortest of each method, failures counted in, over so many answers.
-    pub slow: f64,
-    /// The same over what answers tell of queueing alone.
+    /// The part of its answers that were ok, as of late.
+    pub good: f64,
+    /// Present answer time against the shortest of each method, over so many answers.
     pub pace: f64,
     pub answers: f64,
     /// The answers that were due to come since the last one came.
     pub missed: f64,
-    pub dropped: bool,
-    pub silent: bool,
+    /// Not sent to until it is heard again.
+    pub shut: bool,
     pub probing: bool,
+    /// Probes that have failed in a row.
+    pub failed_probes: u32,
     pub probe_ended: Duration,
     pub last_send: Duration,
     /// Full, or with a limit below one, the node rests until then.
@@ -83,6 +85,9 @@
 
 #[derive(Default)]
 pub(crate) struct Group {
+    pub members: BTreeSet<NodeId>,
+    /// Bounded and session reads in half the tightest bound, as of late.
+    pub reads: f64,
     /// The primary, the time of the newest evidence, and whether an answer itself has proven it.
     pub primary: Option<(NodeId, Duration, bool)>,
     /// When the last primary was lost: who has answered as a replica since then is left out of the search.
@@ -97,8 +102,20 @@
     pub node: NodeId,
     pub sent: Duration,
     pub outcome: Option<Outcome>,
-    /// Out for so long that it no longer counts as in flight.
-    pub lost: bool,
+}
+
+/// A call-out that a node has not answered, the seconds it should take, and from when on it counts as lost.
+pub(crate) struct Out {
+    pub rpc: RpcId,
+    pub call: CallNo,
+    pub expected: f64,
+    pub lost_at: Duration,
+}
+
+impl Out {
+    pub fn is_lost(&self, now: Duration) -> bool {
+        self.lost_at <= now
+    }
 }
 
 pub(crate) struct Held {
@@ -123,18 +140,6 @@
     pub fn tried(&self, node: NodeId) -> bool {
         self.calls.iter().any(|call| call.node == node)
     }
-    pub fn line(&self) -> (bool, MethodId) {
-        (self.over_share || !self.calls.is_empty(), self.rpc.method)
-    }
-}
-
-impl Member {
-    pub fn open(&self) -> bool {
-        !(self.stopped || self.dropped || self.silent)
-    }
-    pub fn has_room(&self, now: Duration) -> bool {
-        f64::from(self.in_flight) < self.limit && self.rests_until <= now
-    }
 }
 
 /// Where an RPC goes now.
