Cold nodes get an even credit; saved-up rests; resets and lone errors shut nothing

Now a cold node earns credit evenly from what its kind carries in the mean for this router; first call-outs are spread by chance.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 //! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, served last.
 //! 3. Health: a node that fails loses its share; one that falls silent gets nothing until it is heard again.
-//! 4. Cold budget: what a node that has just started may be sent.
+//! 4. Cold budget: what a node that has just started may be sent, by all routers together.
 //! 5. Giving up: what can no longer be of use, repeats above all, is ended early, with a time to come back.
 //! 6. Long any-reads keep to one member, so that the others apply the log.
 
@@ -48,6 +48,11 @@
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 8.0;
+/// So many rests may be saved up: RPCs come in clumps, and each router sees few.
+const RESTS_SAVED: u32 = 3;
+/// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its square:
+/// one of many routers sees too few answers of a node to tell in time.
+const CROWDED: f64 = 1.5;
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
 const SHORTEST_FORGETS: f64 = 1.02;
@@ -55,16 +60,19 @@
 const SILENT: f64 = 9.0;
 /// A call-out that takes this many times the present answer time counts as lost; chance does so once in 150.
 const LOST: f64 = 5.0;
+/// Errors after which an RPC itself is taken to be at fault.
+const ERRORS: usize = 2;
 /// An RPC is sent only if this multiple of the present answer time is left to it.
 const TIME_NEEDED: f64 = 2.0;
 /// No RPC is given up before this part of its time is all that is left.
 const MOST_NEEDED: f64 = 0.75;
 /// So many more tries must have waited alike before another is taken for a repeat.
 const SURE: f64 = 20.0;
-/// The part of a cold node's permitted load that is used: routers carry unequal traffic.
-const COLD_MARGIN: f64 = 0.75;
-/// At least one call-out to a cold node in this part of the span over which it may be overloaded.
-const COLD_FLOOR: u32 = 4;
+/// What a node carries is counted over about so many seconds.
+const CARRIED_OVER: f64 = 2.0;
+/// At least so many call-outs of all routers together to a cold node in the span over which it may be
+/// overloaded, and no more saved up than such a part of the span allows.
+const COLD_FLOOR: f64 = 4.0;
 /// Asking for the list again after a failure: this first, then twice as long each time.
 const ASK_AGAIN: Duration = millis(300);
 
@@ -82,7 +90,6 @@
     tick: Duration,
     call_outs: usize,
     remembers: bool,
-    overload: Duration,
     routers: f64,
     swept: Duration,
     armed: Option<Duration>,
@@ -90,6 +97,7 @@
     ask_wait: Duration,
     ask_every: Duration,
     shares: BTreeMap<TenantId, (f64, Duration)>,
+    pace: f64,
     probes: f64,
     probes_earned: f64,
 }
@@ -109,7 +117,6 @@
             remembers: values.text("replication.session_marks") == "remembered",
             probes_earned: PROBE_SPEND / values.number("prices.probe").unwrap_or(0.0).max(1e-3),
             probes: if values.flag("allowed.probes") { f64::MAX } else { 0.0 },
-            overload: values.span("rules.overload_time").unwrap_or(millis(1000)),
             routers: values.number("routers").unwrap_or(1.0).max(1.0),
             values,
             methods,
@@ -119,6 +126,7 @@
             due: BTreeSet::new(),
             tokens: BTreeMap::new(),
             swept: now,
+            pace: 1.0,
             armed: None,
             ask_wait: ASK_AGAIN,
             shares: BTreeMap::new(),
@@ -184,7 +192,9 @@
                 Condition::Draining => true,
                 Condition::Gone => !gone_stays || member.stopped,
             };
-            if entry.started > member.started {
+            if entry.started > member.started || member.warmth == 0.0 {
+                let debt = self.methods.iter().map(|method| method.shortest).fold(0.0, f64::max);
+                member.credit = -debt * self.chance.random_range(0.0..1.0);
                 // A new start: what was known of the old process's health is void.
                 (member.shut, member.missed, member.failed_probes) = (false, 0.0, 0);
             }
@@ -266,10 +276,10 @@
         let group = member.group;
         // A failed probe drops the node until a later one answers (the design's).
         (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
-        member.failed_probes = if answered { 0 } else { (member.failed_probes + 1).min(DOUBLINGS) };
         if answered {
-            (member.missed, member.heard) = (0.0, Some(now));
+            (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
         } else {
+            member.failed_probes = (member.failed_probes + 1).min(DOUBLINGS);
             self.lose_primary(now, group, node);
         }
         self.note_report(now, node, report.as_ref());
@@ -313,14 +323,30 @@
             self.ask_at = Some(now + self.ask_every / 2);
             self.host.watch_list();
         }
-        let passed = now.saturating_sub(self.swept).as_secs_f64().max(1e-6);
+        let passed = now.saturating_sub(self.swept).as_secs_f64();
         self.swept = now;
+        let mut kinds: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for member in self.members.values().filter(|member| self.open(member)) {
+            let sum = kinds.entry(member.kind).or_default();
+            (sum.0, sum.1) = (sum.0 + member.carried, sum.1 + 1.0);
+        }
+        let time = self.values.span("rules.cold_time").unwrap_or_default();
+        let from = self.values.number("rules.cold_from").unwrap_or(1.0);
+        let multiple = self.values.number("rules.fall_multiple").unwrap_or(1.0);
+        let span = self.values.span("rules.overload_time").unwrap_or(millis(1000)).as_secs_f64();
+        let work = self.methods.iter().map(|method| method.shortest).fold(0.0, f64::max);
         for member in self.members.values_mut() {
-            let new = 1.0 - (-passed / 2.0).exp();
-            member.carried += (std::mem::take(&mut member.carried_now) / passed - member.carried) * new;
-            while member.cold_sends.front().is_some_and(|(at, _)| *at + self.overload < now) {
-                member.cold_sends.pop_front();
-            }
+            member.carried *= (-passed / CARRIED_OVER).exp();
+            // The part of its capacity that a node is known to have by now.
+            let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
+            let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
+            member.warmth = from + (1.0 - from) * part;
+            // What a cold node may be sent: what nodes of its kind are seen to carry in the mean for this router,
+            // which leaves margin, times that part, times the permitted multiple, and evenly. The first call-outs
+            // of many routers are spread by chance (see `list_changed`).
+            let (sum, count) = kinds.get(&member.kind).copied().unwrap_or((0.0, 1.0));
+            let rate = (sum / count * member.warmth * multiple).max(COLD_FLOOR * work / span / self.routers);
+            member.credit = (member.credit + rate * passed).min(rate * span / COLD_FLOOR);
             // Guards against a node that hangs, dies or is cut off without a word: when the answers that are
             // due stay away for longer than chance allows, nothing more is sent until it is heard again.
             let due = member.out.iter().filter(|out| !out.is_lost(now)).map(|out| 1.0 / out.expected);
@@ -384,35 +410,27 @@
         }
     }
 
-    /// Asks entries of a group that are older than half the tightest bound: two at random where none is fresh
-    /// enough for a read, and all where the primary is not known or nobody has been heard yet.
-    fn probe_for(&mut self, now: Duration, group: GroupId) {
-        let group = &self.groups[&group];
-        let primary = group.primary.map(|(node, _, _)| node);
-        let all = primary.is_none() || group.members.iter().all(|node| self.members[node].heard.is_none());
-        let aged = |node: &NodeId| {
-            let member = &self.members[node];
-            let heard = member.heard.max(Some(member.probe_ended)).unwrap_or_default();
-            self.open(member) && (all || Some(*node) != primary) && heard + self.tightest / 2 <= now
-        };
-        let mut nodes: Vec<NodeId> = group.members.iter().copied().filter(aged).collect();
-        while !all && nodes.len() > 2 {
-            nodes.swap_remove(self.chance.random_range(0..nodes.len()));
-        }
-        nodes.into_iter().for_each(|node| self.probe(node));
+    /// Asks, of nodes whose entries do not help, two at random, or all where nobody has been heard yet.
+    fn probe_for(&mut self, now: Duration, mut nodes: Vec<NodeId>) {
+        let due = |member: &Member| member.heard.unwrap_or_default() + self.tightest / 2 <= now;
+        nodes.retain(|node| self.open(&self.members[node]) && due(&self.members[node]));
+        let few = if nodes.iter().all(|node| self.members[node].heard.is_none()) { nodes.len() } else { 2 };
+        let asked: Vec<NodeId> = nodes.sample(&mut self.chance, few).copied().collect();
+        asked.into_iter().for_each(|node| self.probe(node));
     }
 
     /// Takes what an ended call-out tells of its node and of its method.
     fn learn(&mut self, now: Duration, end: &CallEnd) {
-        use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Reset, TimedOut};
+        use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, TimedOut};
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
         let place = member.out.iter().position(|out| (out.rpc, out.call) == (end.rpc, end.call));
         let lost = place.is_none_or(|place| member.out.swap_remove(place).is_lost(now));
         match end.outcome {
             Ok | Error | Full | Miss => (member.missed, member.shut) = (0.0, false),
-            // Guards against a dead process or a cut link: a probe decides before more is lost there.
-            ConnectFailed | Reset => member.shut = true,
+            // Guards against a dead process or a cut link: a probe decides before more is lost there. A reset alone
+            // may be an answer that was lost; a process that is gone fails the next connect.
+            ConnectFailed => member.shut = true,
             _ => {}
         }
         let held = self.held.get(&end.rpc);
@@ -425,6 +443,7 @@
                 member.answers += 1.0;
                 let weight = WEIGHT.max(1.0 / (member.answers + 1.0));
                 member.pace += (took / method.shortest - member.pace) * weight;
+                self.pace += (took / method.shortest - self.pace) * WEIGHT;
                 let ratio = (TOLERANCE / member.pace.max(0.1)).clamp(0.5, 1.0);
                 member.limit += (member.limit * (ratio - 1.0) + 1.0 / self.routers) * WEIGHT;
             }
@@ -434,10 +453,12 @@
             }
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
             // Guards against many routers with one in flight each: below one, the node rests between two.
-            let rest = if lost { 0.0 } else { took * (1.0 / member.limit - 1.0).max(0.0) };
-            member.rests_until = member.rests_until.max(now + Duration::from_secs_f64(rest));
+            let crowded = (self.pace / CROWDED).max(1.0).powi(2);
+            let rest = if lost { 0.0 } else { took * (crowded / member.limit - 1.0).max(0.0) };
+            let rest = Duration::from_secs_f64(rest);
+            member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
             if end.outcome == Ok {
-                member.carried_now += method.shortest;
+                member.carried += method.shortest / CARRIED_OVER;
                 method.present += (took - method.present) * WEIGHT;
                 method.span.1 += took;
                 method.span.2 += 1.0;
@@ -468,7 +489,7 @@
             }
         }
         self.note_report(now, end.node, end.report.as_ref());
-        if matches!(end.outcome, ConnectFailed | Reset) {
+        if end.outcome == ConnectFailed {
             self.probe_old(now);
         }
     }
@@ -523,6 +544,11 @@
         if held.calls.len() >= self.call_outs || (never && held.may_have_run().next().is_some()) {
             return self.finish(id, Duration::ZERO);
         }
+        // Guards against RPCs that are bad in themselves: an error at two nodes is no node's fault. The client is
+        // kept from asking for the same at once.
+        if held.calls.iter().filter(|call| call.outcome == Some(Outcome::Error)).count() >= ERRORS {
+            return self.finish(id, self.values.span("allowed.longest_retry_after").unwrap_or_default());
+        }
         self.line_up(now, id);
     }
 
@@ -623,7 +649,7 @@
             return self.pick_primary(now, id, primary);
         }
         let checked = self.values.text("replication.read_check") != "none";
-        let (mut passing, mut room) = (false, Vec::new());
+        let (mut passing, mut room, mut ask) = (false, Vec::new(), Vec::new());
         for (node, member) in group.members.iter().map(|node| (*node, &self.members[node])) {
             if Some(node) == primary || !self.open(member) || held.tried(node) {
                 continue;
@@ -634,10 +660,9 @@
             // tried if the node would pass at an even pace since it was heard.
             let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             let weight = self.room(now, member);
-            if (proven || (checked && pace >= self.needed_position(now, held)))
-                && weight > 0.0
-                && self.gate(now, id, node)
-            {
+            if !(proven || checked && pace >= self.needed_position(now, held)) {
+                ask.push(node);
+            } else if weight > 0.0 && self.gate(now, id, node) {
                 room.push((proven, node, weight));
             }
         }
@@ -657,9 +682,9 @@
         if let Some(node) = primary.filter(may).filter(|_| group.share >= 1.0) {
             return Pick::Node(node);
         }
-        let (arrived, group) = (held.arrived, held.rpc.group);
+        let arrived = held.arrived;
         if now == arrived {
-            self.probe_for(now, group);
+            self.probe_for(now, ask);
         }
         if passing || now < arrived + HOLD { Pick::Wait } else { Pick::Refuse }
     }
@@ -680,7 +705,9 @@
         if let Some(node) = next {
             return Pick::Node(node);
         }
-        self.probe_for(now, held.rpc.group);
+        // While no primary is known, all members are asked.
+        let members = self.groups[&held.rpc.group].members.iter().copied().collect();
+        self.probe_for(now, members);
         Pick::Wait
     }
 
@@ -705,19 +732,10 @@
     fn room(&self, now: Duration, member: &Member) -> f64 {
         // Guards against nodes that fail fast, by share and not by a limit: what fails everywhere alike, as bad
         // RPCs do, costs no node its share.
-        let part = self.warmth(now, member) * member.good * member.good;
+        let part = member.warmth * member.good * member.good;
         if self.has_room(now, member) { part * (member.limit - self.in_flight(now, member)) } else { 0.0 }
     }
 
-    /// The part of its capacity that a node is known to have by now.
-    fn warmth(&self, now: Duration, member: &Member) -> f64 {
-        let from = self.values.number("rules.cold_from").unwrap_or(1.0);
-        let time = self.values.span("rules.cold_time").unwrap_or_default();
-        let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
-        let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
-        from + (1.0 - from) * part
-    }
-
     /// Whether rule 5 lets this node answer this read: by a position that was told, or by being the primary.
     fn is_current(&self, now: Duration, held: &Held, node: NodeId) -> bool {
         let primary = self.groups[&held.rpc.group].primary;
@@ -760,24 +778,7 @@
         // Rule 3: nothing to a node once it is told to drain; the grace is for what is out already.
         // Rule 4: the cold budget. Rule 5: proof of freshness, unless nodes check for themselves.
         let fresh = self.values.text("replication.read_check") != "none" || self.is_current(now, held, node);
-        repeat && !member.stopped && fresh && self.is_within_cold_budget(now, member, method.shortest)
-    }
-
-    /// What the busiest warm node of the kind is seen to carry for this router, times the part of it that the
-    /// cold node has by now, times most of the permitted multiple. Each router keeps to its part of the sum.
-    fn is_within_cold_budget(&self, now: Duration, member: &Member, work: f64) -> bool {
-        let warmth = self.warmth(now, member);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let span = self.overload;
-        let like = |m: &&Member| self.open(m) && m.kind == member.kind && self.warmth(now, m) >= 1.0;
-        let warm = self.members.values().filter(like).map(|m| m.carried).fold(0.0, f64::max);
-        let multiple = self.values.number("rules.fall_multiple").unwrap_or(1.0) * COLD_MARGIN;
-        let budget = warm * warmth * multiple * span.as_secs_f64();
-        let sends = member.cold_sends.iter().filter(|(at, _)| *at + span > now);
-        sends.map(|(_, work)| work).sum::<f64>() + work <= budget
-            || (member.out.is_empty() && member.last_send + span / COLD_FLOOR <= now)
+        repeat && !member.stopped && fresh && (member.warmth >= 1.0 || member.credit >= 0.0)
     }
 
     fn send(&mut self, now: Duration, id: RpcId, node: NodeId) {
@@ -794,8 +795,7 @@
         // until the last time-out, which for a write is seconds.
         let lost_at = now + Duration::from_secs_f64(LOST * expected);
         member.out.push(Out { rpc: id, call, expected, lost_at });
-        member.last_send = now;
-        member.cold_sends.push_back((now, method.shortest));
+        member.credit -= method.shortest;
         held.calls.push(Call { node, sent: now, outcome: None });
         self.due.insert((held.deadline.saturating_sub(self.tick), id));
         let group = self.groups.entry(member.group).or_default();
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! The plain types in which the decision module keeps what it knows. They decide nothing.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::host::{CallNo, GroupId, MethodId, NodeId, Outcome, Role, Rpc, RpcId, ZoneId};
@@ -74,13 +74,13 @@
     /// Probes that have failed in a row.
     pub failed_probes: u32,
     pub probe_ended: Duration,
-    pub last_send: Duration,
     /// Full, or with a limit below one, the node rests until then.
     pub rests_until: Duration,
-    /// Work answered a second, and since the last sweep.
+    /// Work answered a second.
     pub carried: f64,
-    pub carried_now: f64,
-    pub cold_sends: VecDeque<(Duration, f64)>,
+    /// The part of its capacity that it surely has, and the work that it may be sent while that is not all.
+    pub warmth: f64,
+    pub credit: f64,
 }
 
 #[derive(Default)]
