--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,8 +46,8 @@
 /// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing is good.
 const TOLERANCE: f64 = 1.15;
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
-const FIRST_LIMIT: f64 = 16.0;
-const LEAST_LIMIT: f64 = 8.0;
+const FIRST_LIMIT: f64 = 10.0;
+const LEAST_LIMIT: f64 = 6.0;
 /// So many rests may be saved up: RPCs come in clumps, and each router sees few.
 const RESTS_SAVED: u32 = 3;
 /// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its square:
@@ -653,14 +653,16 @@
                 continue;
             }
             let proven = self.is_current(now, held, node);
-            passing |= proven;
             // Guards against a flood of misses while all lag: where nodes check, an entry that has merely aged is
             // tried if the node would pass at an even pace since it was heard.
             let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             let weight = self.room(now, member);
             if !(proven || checked && pace >= self.needed_position(now, held)) {
                 ask.push(node);
-            } else if weight > 0.0 && self.gate(now, id, node) {
+                continue;
+            }
+            passing = true;
+            if weight > 0.0 && self.gate(now, id, node) {
                 room.push((proven, node, weight));
             }
         }
