Keep reads off a zone whose answers are slower than the calmest zone's

Answer times are now pooled by zone: a node's weight falls with the fourth power of its zone's pace against the calmest zone's, crowding is judged by the calmest zone, and reads do not probe beyond a slow link. It could do harm where one zone's machines are slower by nature; they then get less, though not nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, served last.
-//! 3. Health: a node that fails loses its share; one that falls silent gets nothing until it is heard again.
+//! 3. Health: nodes that fail, and zones whose answers come late, lose their share; a silent node gets nothing.
 //! 4. Cold budget: what a node that has just started may be sent, by all routers together.
 //! 5. Giving up: what can no longer be of use, repeats above all, is ended early, with a time to come back.
 //! 6. Long any-reads keep to one member, so that the others apply the log.
@@ -20,7 +20,7 @@
 
 use crate::host::{
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
-    RpcId, SessionKey, TenantId, ValueMap,
+    RpcId, SessionKey, TenantId, ValueMap, ZoneId,
 };
 use crate::state::{Call, Group, Held, Member, Method, Need, Out, Pick, Repeats, Scope};
 
@@ -50,8 +50,8 @@
 const LEAST_LIMIT: f64 = 6.0;
 /// So many rests may be saved up: RPCs come in clumps, and each router sees few.
 const RESTS_SAVED: u32 = 3;
-/// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its square:
-/// one of many routers sees too few answers of a node to tell in time.
+/// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its
+/// square: one of many routers sees too few answers of a node to tell in time.
 const CROWDED: f64 = 1.5;
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
@@ -64,12 +64,9 @@
 const ERRORS: usize = 2;
 /// After a node that is up refused a connection, idle ones are given back for this long.
 const SQUEEZED: Duration = millis(5000);
-/// A node without free connections rests for this many holds at most.
-const MOST_HOLDS: u32 = 4;
 /// An RPC is sent only if this multiple of the present answer time is left to it.
 const TIME_NEEDED: f64 = 2.0;
-/// No RPC is given up before this part of its time is all that is left.
-const MOST_NEEDED: f64 = 0.75;
+const MOST_NEEDED: f64 = 0.75; // of its whole time
 /// So many more tries must have waited alike before another is taken for a repeat.
 const SURE: f64 = 20.0;
 /// What a node carries is counted over about so many seconds.
@@ -101,7 +98,7 @@
     ask_wait: Duration,
     ask_every: Duration,
     shares: BTreeMap<TenantId, (f64, Duration)>,
-    pace: f64,
+    zones: BTreeMap<ZoneId, f64>, // the pace of each zone's answers
     squeezed: Duration,
     probes: f64,
     probes_earned: f64,
@@ -131,7 +128,7 @@
             due: BTreeSet::new(),
             tokens: BTreeMap::new(),
             swept: now,
-            pace: 1.0,
+            zones: BTreeMap::new(),
             squeezed: now,
             armed: None,
             ask_wait: ASK_AGAIN,
@@ -283,8 +280,8 @@
         (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
-            // Guards against a shortage of connections: a node that is up and refused one has none left. For a
-            // while each is given back when it is done with, as many routers share them.
+            // Guards against a shortage of connections: a node that is up and refused one has none left. For
+            // a while each is given back when it is done with, as many routers share them.
             if member.refused > 0 {
                 self.squeezed = now + SQUEEZED;
                 self.members.keys().for_each(|node| self.host.close_idle(*node));
@@ -352,8 +349,8 @@
             let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
             let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
             member.warmth = from + (1.0 - from) * part;
-            // What a cold node may be sent: what nodes of its kind are seen to carry in the mean for this router,
-            // which leaves margin, times that part, times the permitted multiple, and evenly. The first call-outs
+            // What a cold node may be sent: what nodes of its kind carry in the mean for this router, which
+            // leaves margin, times that part, times the permitted multiple, and evenly. The first call-outs
             // of many routers are spread by chance (see `list_changed`).
             let (sum, count) = kinds.get(&member.kind).copied().unwrap_or((0.0, 1.0));
             let rate = (sum / count * member.warmth * multiple).max(COLD_FLOOR * work / span / self.routers);
@@ -396,8 +393,8 @@
         }
     }
 
-    /// Entries older than half the tightest bound are probed, but only for a read that none of them helps, as with
-    /// many routers most would age unread: two at random, or all where nobody has been heard yet.
+    /// Entries older than half the tightest bound are probed, but only for a read that finds no fresh one, as
+    /// with many routers most would age unread: two at random, or all where nobody has been heard yet.
     fn probe_for(&mut self, now: Duration, mut nodes: Vec<NodeId>) {
         let due = |member: &Member| member.heard.unwrap_or_default() + self.tightest / 2 <= now;
         nodes.retain(|node| self.open(&self.members[node]) && due(&self.members[node]));
@@ -406,7 +403,6 @@
         asked.into_iter().for_each(|node| self.probe(node));
     }
 
-    /// Takes what an ended call-out tells of its node and of its method.
     fn learn(&mut self, now: Duration, end: &CallEnd) {
         use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, TimedOut};
         let connect = self.values.span("allowed.connect_time_out").unwrap_or(Duration::MAX);
@@ -417,20 +413,22 @@
         // A refusal comes at once; a connect that takes its whole time is one that a bad link has lost.
         let refused = end.outcome == ConnectFailed && end.took < connect;
         member.refused = if refused { member.refused + 1 } else { 0 };
+        // Guards against answering a node that is full, or has no connection left, with the next call-out.
+        let rests = end.outcome == Full || (refused && now < self.squeezed);
+        member.rests_until = if rests { now + HOLD } else { member.rests_until };
         match end.outcome {
             Ok | Error | Full | Miss => (member.missed, member.shut) = (0.0, false),
-            // Others hold its connections: room comes when they are done.
-            _ if refused && now < self.squeezed => {
-                member.rests_until = now + HOLD * member.refused.min(MOST_HOLDS);
-            }
-            // Guards against a dead process or a cut link: a probe decides before more is lost there. A reset alone
-            // may be an answer that was lost; a process that is gone fails the next connect.
+            _ if rests => {}
+            // Guards against a dead process or a cut link: a probe decides before more is lost there. A reset
+            // may be no more than a lost answer; a process that is gone fails the next connect.
             ConnectFailed => member.shut = true,
             _ => {}
         }
         if !refused && now < self.squeezed && member.out.is_empty() {
             self.host.close_idle(end.node);
         }
+        let calmest = self.calmest();
+        let Some(member) = self.members.get_mut(&end.node) else { return };
         let held = self.held.get(&end.rpc);
         if let Some(method) = held.and_then(|held| self.methods.get_mut(held.rpc.method.0)) {
             // Failures tell on a node's health, but nothing of queueing there.
@@ -441,19 +439,16 @@
                 member.answers += 1.0;
                 let weight = WEIGHT.max(1.0 / (member.answers + 1.0));
                 member.pace += (took / method.shortest - member.pace) * weight;
-                self.pace += (took / method.shortest - self.pace) * WEIGHT;
+                let zone = self.zones.entry(member.zone).or_insert(1.0);
+                *zone += (took / method.shortest - *zone) * WEIGHT;
                 let ratio = (TOLERANCE / member.pace.max(0.1)).clamp(0.5, 1.0);
                 member.limit += (member.limit * (ratio - 1.0) + 1.0 / self.routers) * WEIGHT;
             }
-            if end.outcome == Full {
-                // Guards against answering a full node with the next call-out at once, up to the last.
-                member.rests_until = now + HOLD;
-            }
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
             // Guards against many routers with one in flight each: below one, the node rests between two.
-            let crowded = (self.pace / CROWDED).max(1.0).powi(2);
-            let rest = if lost { 0.0 } else { took * (crowded / member.limit - 1.0).max(0.0) };
-            let rest = Duration::from_secs_f64(rest);
+            let crowded = (calmest / CROWDED).max(1.0).powi(2);
+            let rests = if lost { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
+            let rest = end.took.mul_f64(rests);
             member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
             if end.outcome == Ok {
                 member.carried += method.shortest / CARRIED_OVER;
@@ -467,21 +462,16 @@
             }
         }
         // A primary's position dates its answer, or else the send does; a replica's counts from when it came.
-        match end.role {
-            Some(Role::Replica) => self.note_role(now, end.node, Role::Replica, now, true),
-            Some(role) => {
-                let at = end.position.unwrap_or(now.saturating_sub(end.took));
-                self.note_role(now, end.node, role, at, true);
-            }
-            None => {}
+        if let Some(role) = end.role {
+            let sent = end.position.unwrap_or(now.saturating_sub(end.took));
+            self.note_role(now, end.node, role, if role == Role::Replica { now } else { sent }, true);
         }
         if let Some(position) = end.position {
             // A commit is rounded up, all else down.
             self.note_position(now, end.node, position.saturating_sub(millis(1)));
             let held = self.held.get(&end.rpc).filter(|_| end.outcome == Ok && self.remembers);
-            if let Some(session) = held.and_then(|held| held.rpc.session)
-                && held.is_some_and(|held| self.methods[held.rpc.method.0].need == Need::Write)
-            {
+            let wrote = held.filter(|held| self.methods[held.rpc.method.0].need == Need::Write);
+            if let Some(session) = wrote.and_then(|held| held.rpc.session) {
                 let token = self.tokens.entry((group, session)).or_default();
                 *token = position.max(*token);
             }
@@ -542,8 +532,8 @@
         if held.calls.len() >= self.call_outs || (never && held.may_have_run().next().is_some()) {
             return self.finish(id, Duration::ZERO);
         }
-        // Guards against RPCs that are bad in themselves: an error at two nodes is no node's fault. The client is
-        // kept from asking for the same at once.
+        // Guards against RPCs that are bad in themselves: errors at two nodes are no node's fault. The client
+        // is told to come back late.
         if held.calls.iter().filter(|call| call.outcome == Some(Outcome::Error)).count() >= ERRORS {
             return self.finish(id, self.values.span("allowed.longest_retry_after").unwrap_or_default());
         }
@@ -653,12 +643,13 @@
                 continue;
             }
             let proven = self.is_current(now, held, node);
-            // Guards against a flood of misses while all lag: where nodes check, an entry that has merely aged is
-            // tried if the node would pass at an even pace since it was heard.
+            // Guards against a flood of misses while all lag: where nodes check, an entry that has only aged
+            // is tried if the node would pass at an even pace since it was heard.
             let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             let weight = self.room(now, member);
             if !(proven || checked && pace >= self.needed_position(now, held)) {
-                ask.push(node);
+                // Beyond a slow link a probe would come back too late.
+                ask.extend(Some(node).filter(|_| self.nearness(member) > 0.5));
                 continue;
             }
             passing = true;
@@ -669,8 +660,8 @@
         if room.iter().any(|(proven, _, _)| *proven) {
             room.retain(|(proven, _, _)| *proven);
         }
-        // Guards against long reads that keep replicas from applying the log: one that takes much of the bound
-        // goes to the last member in sorted order, alike at all routers, and the rest keep up.
+        // Guards against long reads that keep replicas from applying the log: one that takes much of the
+        // bound goes to the last member in sorted order, alike at all routers, and the rest keep up.
         let method = &self.methods[held.rpc.method.0];
         if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
             room.drain(..room.len().saturating_sub(1));
@@ -728,11 +719,21 @@
         (held.over_share || !held.calls.is_empty(), held.rpc.method)
     }
 
+    /// The pace of the zone whose answers are least delayed.
+    fn calmest(&self) -> f64 {
+        self.zones.values().copied().reduce(f64::min).unwrap_or(1.0).max(1.0)
+    }
+
+    /// Guards against a link that is slow or lossy: nodes beyond it look slow from here alone, all of a zone.
+    fn nearness(&self, member: &Member) -> f64 {
+        self.zones.get(&member.zone).map_or(1.0, |pace| self.calmest() / pace.max(1.0))
+    }
+
     /// Free room at a node, as a weight for the pick.
     fn room(&self, now: Duration, member: &Member) -> f64 {
-        // Guards against nodes that fail fast, by share and not by a limit: what fails everywhere alike, as bad
-        // RPCs do, costs no node its share.
-        let part = member.warmth * member.good * member.good;
+        // Guards against nodes that fail fast, by share and not by a limit: what fails everywhere alike, as
+        // bad RPCs do, costs no node its share.
+        let part = member.warmth * member.good * member.good * self.nearness(member).powi(4);
         if self.has_room(now, member) { part * (member.limit - self.in_flight(now, member)) } else { 0.0 }
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -254,7 +254,7 @@
 
 #[test]
 fn a_method_whose_answers_were_slow_is_still_sent() {
-    // Two methods compete for room; the one whose answers once took long must not be given up on arrival for good.
+    // Two methods compete for room; the one whose answers once took long must not be given up for good.
     let mut stage = stage(2, 0, &[("methods.2.soft_deadline", Value::Span(ms(16)))]);
     sent(&mut stage, 2, None, 200);
     stage.pass(ms(100));
@@ -298,3 +298,15 @@
     }
     assert!((20..=32).contains(&probes), "a tenth of 200, and what was saved up: {probes}");
 }
+
+#[test]
+fn reads_keep_off_a_zone_whose_link_is_slow() {
+    // Odd nodes are in one zone and answer in time, even ones in the other and late.
+    let mut stage = stage(7, 0, &[]);
+    stage.took = Some((ms(400), ms(40)));
+    sent(&mut stage, 1, None, 60);
+    let nodes = sent(&mut stage, 1, None, 60);
+    let far = [2, 4, 6].map(node);
+    let late = nodes.iter().filter(|at| far.contains(at)).count();
+    assert!(late < 6, "{late} of 60");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -55,7 +55,7 @@
     let (mut sends, mut carried) = (Vec::new(), 0);
     for step in 0..400 {
         for (number, stage) in stages.iter_mut().enumerate() {
-            // In turn each router has an RPC every 200 ms. After 20 s node 4 starts anew, and only it is fresh.
+            // Each router has an RPC every 200 ms. After 20 s node 4 starts anew, and only it is fresh.
             let now = stage.now();
             (2..=4).filter(|node| step < 200 || *node == 4).for_each(|node| stage.set_position(node, now));
             if step == 200 {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,5 +1,5 @@
-//! A host that keeps the books of what a router was told and did, and checks the rules on every call it makes. It
-//! shares no code with the module's gate.
+//! A host that keeps the books of what a router was told and did, and checks the rules on every call it
+//! makes. It shares no code with the module's gate.
 #![allow(dead_code)]
 
 use std::cell::RefCell;
@@ -175,6 +175,8 @@
     pub books: Books,
     pub router: Router<Books>,
     pub primary: NodeId,
+    /// How long answers of even and of odd nodes take; 10 ms where it is not said.
+    pub took: Option<(Duration, Duration)>,
     next: u64,
 }
 
@@ -211,7 +213,7 @@
         books.0.borrow_mut().now = ms(100_000);
         books.0.borrow_mut().values = settings(change);
         let router = Router::new(books.clone(), seed, settings(change), ms(100_000));
-        let mut stage = Self { books, router, primary: node(1), next: 0 };
+        let mut stage = Self { books, router, primary: node(1), took: None, next: 0 };
         let list: Vec<Listed> = (1..=nodes).map(|number| stage.listed(number, Condition::Healthy)).collect();
         stage.list(Extent::Remembered, &list);
         stage
@@ -300,13 +302,15 @@
         let call = &mut seen.calls[place];
         call.outcome = Some(outcome);
         // The same answer time for all: a send then counts as one unit of work, as the books count it.
-        let (node, took) = (call.node, ms(10));
+        let (even, odd) = self.took.unwrap_or((ms(10), ms(10)));
+        let node = call.node;
         if outcome == Outcome::Ok && seen.answer.is_none() {
             seen.answer = Some("ok");
         }
         let finished = seen.answer.is_some();
         let spoke = matches!(outcome, Outcome::Ok | Outcome::Miss | Outcome::Full | Outcome::Error);
         let role = if node == self.primary { Role::Primary } else { Role::Replica };
+        let took = if world.list[&node].zone.0 == 0 { even } else { odd };
         let known = world.nodes.get_mut(&node).unwrap();
         if outcome == Outcome::Ok {
             known.oks.push(now);
