--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, served last.
-//! 3. Health: nodes that fail, and zones whose answers come late, lose their share; a silent node gets nothing.
+//! 3. Health: nodes that fail and zones that answer late lose their share; a silent node gets nothing.
 //! 4. Cold budget: what a node that has just started may be sent, by all routers together.
 //! 5. Giving up: what can no longer be of use, repeats above all, is ended early, with a time to come back.
 //! 6. Long any-reads keep to one member, so that the others apply the log.
