No node rests for more than ten seconds after a jam

A rest is the answer's time over the limit, times the square of the crowding; one answer of 4 s in the jam kept its node from a router for minutes. The long rests after slow answers also keep routers from slow nodes, so they stay otherwise.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,9 @@
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 10.0;
 const LEAST_LIMIT: f64 = 6.0;
-/// So many rests may be saved up: RPCs come in clumps, and each router sees few.
+/// So many rests may be saved up, as RPCs come in clumps. One rest after a jam must not outlast it by much.
 const RESTS_SAVED: u32 = 3;
+const LONGEST_REST: Duration = millis(10_000);
 /// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its
 /// square: one of many routers sees too few answers of a node to tell in time.
 const CROWDED: f64 = 1.5;
@@ -62,8 +63,7 @@
 const LOST: f64 = 5.0;
 /// Errors after which an RPC itself is taken to be at fault.
 const ERRORS: usize = 2;
-/// After a node that is up refused a connection, idle ones are given back for this long.
-const SQUEEZED: Duration = millis(5000);
+const SQUEEZED: Duration = millis(5000); // how long idle connections are given back after a refusal
 /// An RPC is sent only if this multiple of the present answer time is left to it.
 const TIME_NEEDED: f64 = 2.0;
 const MOST_NEEDED: f64 = 0.75; // of its whole time
@@ -448,7 +448,7 @@
             // Guards against many routers with one in flight each: below one, the node rests between two.
             let crowded = (calmest / CROWDED).max(1.0).powi(2);
             let rests = if lost { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
-            let rest = end.took.mul_f64(rests);
+            let rest = end.took.mul_f64(rests).min(LONGEST_REST);
             member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
             if end.outcome == Ok {
                 member.carried += method.shortest / CARRIED_OVER;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -310,3 +310,18 @@
     let late = nodes.iter().filter(|at| far.contains(at)).count();
     assert!(late < 6, "{late} of 60");
 }
+
+#[test]
+fn no_jam_is_held_against_a_node_for_long() {
+    // Many routers, and answers that took seconds in a jam: the rest after them was minutes.
+    let mut stage = stage(2, 0, &[("routers", Value::Number(100.0))]);
+    stage.took = Some((ms(4000), ms(4000)));
+    for _ in 0..30 {
+        sent(&mut stage, 4, None, 1);
+        stage.pass(ms(2000));
+        stage.end_probes(|_| true);
+    }
+    stage.pass(ms(10_000));
+    stage.end_probes(|_| true);
+    assert_eq!(sent(&mut stage, 4, None, 1), [node(1)]);
+}
