A probe that is answered with an error shows a node that is up

Evidence: the far replicas answered call-outs while the primary's probes ended in errors. Guards also against a node that is overloaded being taken for dead; it could harm where a broken process answers probes with errors for long: its ok answers then lower its share, but a primary keeps its writes.

--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -358,7 +358,7 @@
             "PROBED" => {
                 let (node, outcome) = (fields.node()?, fields.outcome()?);
                 let report = seat.report(fields)?;
-                Box::new(move |router| router.probe_ended(now, node, outcome == Outcome::Ok, report))
+                Box::new(move |router| router.probe_ended(now, node, outcome, report))
             }
             "VANISHED" => {
                 let rpc = fields.rpc()?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,8 +37,7 @@
 const SWEEPS_PER_BOUND: u32 = 8;
 /// Taken for the bound where no method sets one: probing then serves health alone.
 const NO_BOUND: Duration = millis(1000);
-/// A dropped node is probed at each sweep at first, then twice as long after each failure, this many times.
-const DOUBLINGS: u32 = 7;
+const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
 /// The part of the result that probes may cost; each RPC earns probes for it by their price.
 const PROBE_SPEND: f64 = 0.01;
 /// What one answer weighs: some twenty make up a node's present answer time.
@@ -273,10 +272,11 @@
         self.settle(now, self.members[&end.node].group);
     }
 
-    pub fn probe_ended(&mut self, now: Duration, node: NodeId, answered: bool, report: Option<Report>) {
+    pub fn probe_ended(&mut self, now: Duration, node: NodeId, end: Outcome, report: Option<Report>) {
         let Some(member) = self.members.get_mut(&node) else { return };
         let group = member.group;
-        // A failed probe drops the node until a later one answers (the design's).
+        // A failed probe drops the node until a later one answers (the design's); an error is an answer too.
+        let answered = matches!(end, Outcome::Ok | Outcome::Error | Outcome::Full);
         (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -325,3 +325,11 @@
     stage.end_probes(|_| true);
     assert_eq!(sent(&mut stage, 4, None, 1), [node(1)]);
 }
+
+#[test]
+fn a_probe_answered_with_an_error_shows_that_the_node_is_up() {
+    let mut stage = stage(2, 0, &[]);
+    stage.router.probe_ended(stage.now(), node(1), Outcome::Error, None);
+    let write = stage.arrive(4, LONG, None);
+    assert_eq!(stage.sent_to(write), [node(1)]);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -343,7 +343,8 @@
                 known.told_position = known.told_position.max(position);
                 Report { position: Some(position), primary: Some(primary), ..Report::default() }
             });
-            self.router.probe_ended(now, node, report.is_some(), report);
+            let end = if report.is_some() { Outcome::Ok } else { Outcome::TimedOut };
+            self.router.probe_ended(now, node, end, report);
         }
     }
 
