--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,10 @@
 //! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
 //! its one method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`,
 //! `probe_ended`, `client_left`, `timer_fired`. It acts by calling the [`Host`] it was given (see `host.rs`).
-//!
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
-//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one.
+//! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one,
+//!    and connections are given back while nodes that are up refuse new ones.
 //! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, served last.
 //! 3. Health: nodes that fail and zones that answer late lose their share; a silent node gets nothing.
 //! 4. Cold budget: what a node that has just started may be sent, by all routers together.
