--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -1,7 +1,5 @@
 //! The simulator's wire: its lines to calls of the decision module, and what the module does to lines.
 
-mod settings;
-
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -16,7 +14,7 @@
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
     RpcId, SessionKey, TenantId, ZoneId,
 };
-use settings::span;
+use quillpoint_settings::{enter, span};
 
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -160,14 +158,7 @@
         let mut report = Report::default();
         for (name, text) in self.report_fields.iter().zip(row.split(',')) {
             let value: f64 = text.parse().map_err(|_| Fault::Field("Metrics".into(), row.to_string()))?;
-            match name.as_str() {
-                "x0" => report.position = Some(self.origin + span(value * 1000.0)),
-                "x1" => report.primary = Some(value > 0.0),
-                "active" => report.active = Some(value),
-                "waiting" => report.waiting = Some(value),
-                "cpu" => report.busy = Some(value),
-                _ => {}
-            }
+            enter(&mut report, name, value, self.origin);
         }
         Ok(Some(report))
     }
@@ -377,7 +368,8 @@
 
     fn power_on(&mut self, now: Duration, who: u64, fields: &Fields) -> Result<(), Fault> {
         let seed = fields.must("Nonce64")?;
-        let values = settings::flat(fields.text("BootInfo").ok_or_else(|| fields.missing("BootInfo"))?)?;
+        let settings = fields.text("BootInfo").ok_or_else(|| fields.missing("BootInfo"))?;
+        let values = quillpoint_settings::flat(settings).map_err(Fault::Settings)?;
         let origin = values.span("replication.origin").unwrap_or_default();
         let field = |place: usize| {
             let name = values.text(&format!("reports.fields.{place}"));
--- /dev/null
+++ b/router/src/client.rs
@@ -0,0 +1,314 @@
+//! Clients: the listener, their sessions, and the life of an RPC.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+
+use crate::config::Deployment;
+use crate::descriptors::{Descriptors, Slot};
+use crate::engine::{Engine, Order};
+use crate::pg::{self, Asked, Broken, Opening};
+use crate::pool::Pool;
+use crate::statement::Statement;
+
+/// A pause after a failed accept, so that a failure that lasts does not spin.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// Why a session ended.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Broken(#[from] Broken),
+    #[error("the client left")]
+    Left,
+    #[error("closed while idle")]
+    Closed,
+    #[error("a message did not arrive whole in time")]
+    Late,
+}
+
+/// All that sessions share.
+pub struct Clients {
+    executor: Rc<LocalExecutor<'static>>,
+    engine: Rc<Engine>,
+    pool: Rc<Pool>,
+    descriptors: Rc<Descriptors>,
+    /// How long a message that has begun may take to arrive whole.
+    patience: Duration,
+    most_held: usize,
+    /// Sessions that are open, and a way to have each closed when it is idle.
+    open: RefCell<BTreeMap<u64, Sender<()>>>,
+    next: Cell<u64>,
+    draining: Cell<bool>,
+}
+
+impl Clients {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        engine: Rc<Engine>,
+        pool: Rc<Pool>,
+        descriptors: Rc<Descriptors>,
+        deployment: &Deployment,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            executor,
+            engine,
+            pool,
+            descriptors,
+            patience: deployment.longest_deadline,
+            most_held: deployment.most_held,
+            open: RefCell::default(),
+            next: Cell::new(0),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// Accepts until it is dropped.
+    pub async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
+        loop {
+            // The slot first: a connection that could not be served had better wait where it is.
+            let slot = self.descriptors.take_for_client().await;
+            match listener.accept().await {
+                Ok((stream, _)) => self.welcome(stream, slot),
+                Err(error) => {
+                    log::warn!("accept failed: {error}");
+                    Timer::after(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Takes what has arrived at the listener by now, for its last moment.
+    pub fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
+        while let Ok((stream, _)) = listener.get_ref().accept() {
+            let taken = futures_lite::future::block_on(futures_lite::future::poll_once(
+                self.descriptors.take_for_client(),
+            ));
+            let (Some(slot), Ok(stream)) = (taken, Async::new(stream)) else { return };
+            self.welcome(stream, slot);
+        }
+    }
+
+    fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, slot: Slot) {
+        let clients = Rc::clone(self);
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (close, closed) = async_channel::bounded(1);
+        self.open.borrow_mut().insert(number, close.clone());
+        let task = async move {
+            _ = stream.get_ref().set_nodelay(true);
+            let mut session =
+                Session { clients: &clients, stream, unread: Vec::new(), close, closed, discards: false };
+            let end = session.run().await;
+            if let Err(End::Broken(broken)) = &end {
+                let mut out = Vec::new();
+                pg::put_error(&mut out, true, broken.code(), &broken.to_string(), None);
+                _ = session.stream.write_all(&out).await;
+            }
+            if let Err(end) = end {
+                log::debug!("session {number}: {end}");
+            }
+            drop(session);
+            clients.open.borrow_mut().remove(&number);
+            drop(slot);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// From now on each session is closed as soon as it is idle.
+    pub fn drain(&self) {
+        self.draining.set(true);
+        for close in self.open.borrow().values() {
+            _ = close.try_send(());
+        }
+    }
+
+    pub fn open_sessions(&self) -> usize {
+        self.open.borrow().len()
+    }
+}
+
+struct Session<'a> {
+    clients: &'a Rc<Clients>,
+    stream: Async<TcpStream>,
+    unread: Vec<u8>,
+    close: Sender<()>,
+    closed: async_channel::Receiver<()>,
+    /// After a message of the extended protocol, all is passed over up to Sync.
+    discards: bool,
+}
+
+impl Session<'_> {
+    async fn run(&mut self) -> Result<(), End> {
+        if !self.open().await? {
+            return Ok(());
+        }
+        loop {
+            let mut out = Vec::new();
+            match self.next(pg::asked).await? {
+                Asked::Terminate => return Ok(()),
+                Asked::Sync => {
+                    self.discards = false;
+                    pg::put_ready(&mut out);
+                }
+                _ if self.discards => {}
+                Asked::Extended => {
+                    self.discards = true;
+                    pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
+                }
+                Asked::Query(text) => {
+                    self.query(text, &mut out).await?;
+                    pg::put_ready(&mut out);
+                }
+            }
+            self.stream.write_all(&out).await?;
+        }
+    }
+
+    /// Whether a session begins.
+    async fn open(&mut self) -> Result<bool, End> {
+        loop {
+            let mut out = Vec::new();
+            match self.next(pg::opening).await? {
+                Opening::Cancel => return Ok(false),
+                Opening::Encryption => out.push(b'N'),
+                Opening::Startup => pg::put_welcome(&mut out),
+            }
+            self.stream.write_all(&out).await?;
+            if out.len() > 1 {
+                return Ok(true);
+            }
+        }
+    }
+
+    /// The next message, by the decoder that is due.
+    async fn next<T>(
+        &mut self,
+        decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, Broken>,
+    ) -> Result<T, End> {
+        loop {
+            if let Some((message, taken)) = decode(&self.unread)? {
+                self.unread.drain(..taken);
+                if self.unread.is_empty() {
+                    self.unread.shrink_to(4096);
+                }
+                return Ok(message);
+            }
+            if self.unread.is_empty() && self.clients.draining.get() {
+                return Err(End::Closed);
+            }
+            let idle = self.unread.is_empty();
+            let (close, closed) = (self.close.clone(), self.closed.clone());
+            let parked = idle.then(|| self.clients.descriptors.park(move || _ = close.try_send(())));
+            let patience = self.clients.patience;
+            let closing = async {
+                match idle {
+                    true => {
+                        _ = closed.recv().await;
+                        Err(End::Closed)
+                    }
+                    false => {
+                        Timer::after(patience).await;
+                        Err(End::Late)
+                    }
+                }
+            };
+            let read = read(&self.stream, &mut self.unread);
+            read.or(closing).await?;
+            drop(parked);
+        }
+    }
+
+    /// The life of an RPC: from its query to the answer, which is left in `out`.
+    async fn query(&mut self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<(), End> {
+        let clients = Rc::clone(self.clients);
+        let engine = &clients.engine;
+        if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
+            match engine.is_ready() {
+                true => pg::put_empty_query(out),
+                false => pg::put_error(out, false, "57P03", "no list of nodes has come yet", None),
+            }
+            return Ok(());
+        }
+        let statement = match Statement::parse(text) {
+            Ok(statement) => statement,
+            Err(fault) => {
+                pg::put_error(out, false, fault.code(), &fault.to_string(), None);
+                return Ok(());
+            }
+        };
+        let Some(method) = engine.method(&statement.method) else {
+            let message = format!("the comment's c names no class: {:?}", statement.method);
+            pg::put_error(out, false, "22023", &message, None);
+            return Ok(());
+        };
+        if engine.held() >= clients.most_held {
+            pg::put_error(out, false, "53300", "this router holds all the RPCs it may", None);
+            return Ok(());
+        }
+        let (rpc, orders) = engine.rpc_arrived(method, &statement);
+        loop {
+            let order = async { Ok(orders.recv().await.ok()) };
+            let left = async { Err(self.left().await) };
+            match order.or(left).await {
+                Ok(Some(Order::CallOut(call_out))) => {
+                    let wait = call_out.until.saturating_sub(engine.clock.now());
+                    clients.pool.call_out(Rc::clone(engine), call_out, statement.with_wait(wait));
+                }
+                Ok(Some(Order::Answer(answer))) => {
+                    pg::put_answer(out, &answer);
+                    return Ok(());
+                }
+                Ok(Some(Order::PushBack(retry_after))) => {
+                    let ms = retry_after.as_millis().to_string();
+                    let detail = (!retry_after.is_zero()).then_some(ms.as_str());
+                    pg::put_error(out, false, "53300", "nothing ran, so trying again is harmless", detail);
+                    return Ok(());
+                }
+                Ok(Some(Order::Abort) | None) => {
+                    pg::put_error(out, false, "08006", "no node answered, and it may have run", None);
+                    return Ok(());
+                }
+                Err(end) => {
+                    engine.client_left(rpc);
+                    return Err(end);
+                }
+            }
+        }
+    }
+
+    /// Reads on while an RPC is out, so that a client that leaves is noticed at once.
+    async fn left(&mut self) -> End {
+        loop {
+            // A client that sends ahead of its answers is read no further than one message.
+            if self.unread.len() >= pg::LONGEST {
+                return std::future::pending().await;
+            }
+            if let Err(end) = read(&self.stream, &mut self.unread).await {
+                return end;
+            }
+        }
+    }
+}
+
+async fn read(stream: &Async<TcpStream>, unread: &mut Vec<u8>) -> Result<(), End> {
+    let mut piece = [0; 4096];
+    let mut stream = stream;
+    match stream.read(&mut piece).await? {
+        0 => Err(End::Left),
+        count => {
+            unread.extend(&piece[..count]);
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,165 @@
+//! What a router is told at its start: the one place where it is read, checked and given defaults.
+//!
+//! Each fault names the variable or key at fault and what was expected there.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use quillpoint::host::ValueMap;
+use serde_json::Value as Json;
+
+use crate::directory::Page;
+
+/// Descriptors that are no sockets of peers: the standard streams, the reactor's own, the signal pipe.
+const RESERVED: usize = 16;
+/// Fewer than these leave no room for a client, a node and discovery at once.
+const FEWEST_SOCKETS: usize = 32;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("GW_CONFIG: expected the path of a configuration file, as no --config is given")]
+    NoFile,
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("{0}: expected a JSON object, {1}")]
+    NoJson(String, serde_json::Error),
+    #[error("{key}: expected {expected}, found {found}")]
+    Key { key: String, expected: &'static str, found: String },
+}
+
+fn fault(key: &str, expected: &'static str, found: impl Display) -> Fault {
+    Fault::Key { key: key.to_string(), expected, found: found.to_string() }
+}
+
+/// All that a router is told.
+#[derive(Debug)]
+pub struct Launch {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// How many sockets the router may hold at once.
+    pub sockets: usize,
+    /// The list of nodes as this router had it last.
+    pub known: Page,
+    pub deployment: Deployment,
+}
+
+/// What holds for all routers of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// For the module, by its names.
+    pub values: ValueMap,
+    pub methods: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub report_fields: Vec<String>,
+    pub longest_deadline: Duration,
+    pub connect_time_out: Duration,
+    /// A connection that has stood idle for so long is closed by a node.
+    pub idle_time: Duration,
+    /// How many RPCs may be held at once.
+    pub most_held: usize,
+    pub ask_every: Duration,
+}
+
+impl Launch {
+    /// Variables win over the file. `file` wins over GW_CONFIG.
+    pub fn read(file: Option<&Path>, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Fault> {
+        let variable = |name: &str| variable(name).filter(|text| !text.is_empty());
+        let path = file.map(|path| path.to_string_lossy().into_owned()).or_else(|| variable("GW_CONFIG"));
+        let path = path.ok_or(Fault::NoFile)?;
+        let text = std::fs::read_to_string(&path).map_err(|error| Fault::Unreadable(path.clone(), error))?;
+        let tree: Json = serde_json::from_str(&text).map_err(|error| Fault::NoJson(path.clone(), error))?;
+        Self::from_tree(&tree, variable)
+    }
+
+    pub fn from_tree(tree: &Json, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Fault> {
+        let text = |name: &str, key: &str| match (variable(name), &tree[key]) {
+            (Some(text), _) => (name.to_string(), Some(text)),
+            (None, Json::String(text)) => (key.to_string(), Some(text.clone())),
+            (None, Json::Null) => (key.to_string(), None),
+            (None, other) => (key.to_string(), Some(other.to_string())),
+        };
+        let (key, name) = text("GW_NAME", "name");
+        let name = name.ok_or_else(|| fault(&key, "the router's name", "nothing"))?;
+        let seed = match &tree["seed"] {
+            Json::String(digits) => u64::from_str_radix(digits, 16).ok(),
+            other => other.as_u64(),
+        };
+        let seed = seed.ok_or_else(|| fault("seed", "a number of up to 16 hex digits", &tree["seed"]))?;
+        let sockets = &tree["limits"]["sockets"];
+        let sockets = sockets
+            .as_u64()
+            .filter(|count| *count as usize >= FEWEST_SOCKETS)
+            .ok_or_else(|| fault("limits.sockets", "a number of descriptors, 32 or more", sockets))?;
+        let settings = &tree["settings"];
+        if !settings.is_object() {
+            return Err(fault("settings", "the deployment's settings as an object", settings));
+        }
+        let deployment = Deployment::of(quillpoint_settings::flat_tree(settings))?;
+        let known = match &tree["known"] {
+            Json::Null => Page::default(),
+            page => Page::of(page)
+                .map_err(|error| fault("known", "a list of nodes in discovery's form", error))?,
+        };
+        Ok(Self {
+            name,
+            listen: address(text("GW_LISTEN", "listen"))?,
+            discovery: address(text("GW_DISCOVERY", "discovery"))?,
+            seed,
+            sockets: sockets as usize - RESERVED,
+            known,
+            deployment,
+        })
+    }
+}
+
+fn address((key, found): (String, Option<String>)) -> Result<SocketAddr, Fault> {
+    let found = found.unwrap_or_else(|| "nothing".to_string());
+    SocketAddr::from_str(&found).map_err(|_| fault(&key, "an address and a port", found))
+}
+
+impl Deployment {
+    fn of(values: ValueMap) -> Result<Self, Fault> {
+        let list = |path: &str, name: &str| -> Vec<String> {
+            let at = |place: usize| match name {
+                "" => values.text(&format!("{path}.{place}")),
+                name => values.text(&format!("{path}.{place}.{name}")),
+            };
+            (0..).map(|place| at(place).to_string()).take_while(|text| !text.is_empty()).collect()
+        };
+        let span = |name: &str| {
+            values.span(name).ok_or_else(|| fault(&format!("settings ({name})"), "milliseconds", "nothing"))
+        };
+        let methods = list("methods", "name");
+        if methods.is_empty() {
+            return Err(fault("settings (methods)", "one class of RPCs or more, each with a name", "none"));
+        }
+        let mut longest_deadline = Duration::ZERO;
+        for place in 0..methods.len() {
+            span(&format!("methods.{place}.soft_deadline"))?;
+            longest_deadline = longest_deadline.max(span(&format!("methods.{place}.deadline"))?);
+        }
+        let optional = ["replication.needs.0", "methods.0.effect", "rules.ask_every", "routers", "tick"];
+        for name in optional.into_iter().filter(|name| !values.0.contains_key(*name)) {
+            // A name that silently fails to map costs decisions.
+            log::warn!("settings: {name} is missing, so its default holds");
+        }
+        Ok(Self {
+            methods,
+            zones: list("zones", ""),
+            kinds: list("kinds", ""),
+            report_fields: list("reports.fields", ""),
+            longest_deadline,
+            connect_time_out: span("allowed.connect_time_out")?,
+            idle_time: span("allowed.idle_connection")?,
+            most_held: values.number("allowed.held").map_or(usize::MAX, |held| held as usize),
+            ask_every: values.span("rules.ask_every").unwrap_or(Duration::from_secs(10)),
+            values,
+        })
+    }
+}
--- /dev/null
+++ b/router/src/directory.rs
@@ -0,0 +1,292 @@
+//! Discovery: its pages to lists of nodes, and the watch that keeps the module's list up to date.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use quillpoint::host::{Condition, Extent, GroupId, Listed, NodeId, ZoneId};
+use serde::Deserialize;
+use serde_json::Value as Json;
+
+use crate::config::Deployment;
+use crate::descriptors::{Descriptors, Slot};
+use crate::engine::Engine;
+
+/// A call may take so much longer than the wait it asks for: after that, what it would have told counts as
+/// told, so that waiting on is of no use.
+const SLACK: Duration = Duration::from_millis(2000);
+/// The longest wait that discovery grants.
+const LONGEST_HOLD: Duration = Duration::from_secs(60);
+/// No list of a deployment comes near this.
+const LONGEST_BODY: usize = 4 << 20;
+const LONGEST_HEAD: usize = 16 << 10;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    #[error("no answer in time")]
+    Late,
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("the answer is no HTTP: {0}")]
+    Http(#[from] httparse::Error),
+    #[error("status {0}")]
+    Status(u16),
+    #[error("the answer ends early, or is too long")]
+    Length,
+    #[error("the list cannot be read: {0}")]
+    List(#[from] serde_json::Error),
+}
+
+/// One answer of discovery.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Page {
+    pub rev: u64,
+    pub all: bool,
+    targets: Vec<Json>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: State,
+    #[serde(default)]
+    boot_ms: f64,
+    #[serde(default)]
+    role: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+impl Page {
+    pub fn of(tree: &Json) -> Result<Self, serde_json::Error> {
+        Self::deserialize(tree)
+    }
+}
+
+/// Turns pages to lines for the module. It remembers which endpoint each `uid` had.
+pub struct Reader {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    endpoints: BTreeMap<String, Listed>,
+}
+
+impl Reader {
+    pub fn new(deployment: &Deployment) -> Self {
+        let (zones, kinds) = (deployment.zones.clone(), deployment.kinds.clone());
+        Self { zones, kinds, endpoints: BTreeMap::new() }
+    }
+
+    pub fn lines(&mut self, page: &Page) -> Vec<Listed> {
+        let mut lines = Vec::with_capacity(page.targets.len());
+        let before = if page.all { std::mem::take(&mut self.endpoints) } else { BTreeMap::new() };
+        for entry in &page.targets {
+            let target = match Target::deserialize(entry) {
+                Ok(target) => target,
+                Err(error) => {
+                    log::warn!("list entry skipped, {error}: {entry}");
+                    continue;
+                }
+            };
+            let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+            let line = Listed {
+                node: NodeId(target.endpoint),
+                group: GroupId(target.pod_group),
+                zone: ZoneId(place(&self.zones, &target.az).unwrap_or(0)),
+                kind: place(&self.kinds, &target.model).unwrap_or(0),
+                primary: target.role == "primary",
+                condition: match target.state {
+                    State::InService => Condition::Healthy,
+                    State::Terminating => Condition::Draining,
+                    State::Terminated => Condition::Gone,
+                },
+                started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(quillpoint_settings::span),
+            };
+            let old = self.endpoints.insert(target.uid.clone(), line.clone());
+            // A machine that shows up elsewhere: the old node is gone, and a new one has come.
+            if let Some(old) = old.or_else(|| before.get(&target.uid).cloned())
+                && old.node != line.node
+            {
+                lines.push(Listed { condition: Condition::Gone, ..old });
+            }
+            lines.push(line);
+        }
+        lines
+    }
+}
+
+/// Discovery's one caller.
+pub struct Directory {
+    address: SocketAddr,
+    hold: Duration,
+    reader: Reader,
+    rev: Option<u64>,
+    connection: Option<(Async<TcpStream>, Slot)>,
+    descriptors: Rc<Descriptors>,
+}
+
+impl Directory {
+    /// Reads the list that the router had last; the lines are for the module.
+    pub fn new(
+        address: SocketAddr,
+        deployment: &Deployment,
+        known: &Page,
+        descriptors: Rc<Descriptors>,
+    ) -> (Self, Vec<Listed>) {
+        let mut reader = Reader::new(deployment);
+        let lines = reader.lines(known);
+        let rev = (!lines.is_empty()).then_some(known.rev);
+        let hold = deployment.ask_every.min(LONGEST_HOLD);
+        (Self { address, hold, reader, rev, connection: None, descriptors }, lines)
+    }
+
+    /// Each time the module asks, a new watch: first what is new by now, then calls that wait for more.
+    pub async fn run(mut self, engine: Rc<Engine>, asked: Receiver<()>) {
+        while asked.recv().await.is_ok() {
+            let mut hold = Duration::ZERO;
+            loop {
+                // One ask is answered by the watch that stands; what asks pile up meanwhile is one more.
+                let again = async {
+                    _ = asked.recv().await;
+                    None
+                };
+                let call = async { Some(self.call(hold).await) };
+                match call.or(again).await {
+                    Some(Ok(page)) => {
+                        let lines = self.reader.lines(&page);
+                        self.rev = Some(page.rev);
+                        if !lines.is_empty() {
+                            log::info!("list {}: {} entries", page.rev, lines.len());
+                        }
+                        let extent = if page.all { Extent::Whole } else { Extent::Changes };
+                        engine.list_changed(extent, &lines);
+                        hold = self.hold;
+                    }
+                    Some(Err(failure)) => {
+                        log::warn!("list call failed: {failure}");
+                        self.connection = None;
+                        engine.list_failed();
+                        break;
+                    }
+                    None => {
+                        log::debug!("list asked for anew");
+                        self.connection = None;
+                        hold = Duration::ZERO;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call(&mut self, hold: Duration) -> Result<Page, Failure> {
+        let late = async {
+            Timer::after(hold + SLACK).await;
+            Err(Failure::Late)
+        };
+        let path = match self.rev {
+            None => "/catalog/members".to_string(),
+            Some(rev) => format!("/catalog/members?from={rev}&hold_ms={}", hold.as_millis()),
+        };
+        self.fetch(&path).or(late).await
+    }
+
+    async fn fetch(&mut self, path: &str) -> Result<Page, Failure> {
+        let (mut stream, slot) = match self.connection.take() {
+            Some(kept) => kept,
+            None => {
+                let slot = self.descriptors.take().await;
+                (Async::<TcpStream>::connect(self.address).await?, slot)
+            }
+        };
+        let host = self.address;
+        let call = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
+        stream.write_all(call.as_bytes()).await?;
+        let mut bytes = Vec::new();
+        let (body, kept) = loop {
+            if let Some(whole) = answer(&bytes, false)? {
+                break whole;
+            }
+            let mut piece = [0; 4096];
+            let count = stream.read(&mut piece).await?;
+            if count == 0 {
+                break answer(&bytes, true)?.ok_or(Failure::Length)?;
+            }
+            bytes.extend(&piece[..count]);
+        };
+        let page = serde_json::from_slice(&body)?;
+        self.connection = kept.then_some((stream, slot));
+        Ok(page)
+    }
+}
+
+/// The body of an answer once it is whole, and whether its connection may be used again.
+fn answer(bytes: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, Failure> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Response::new(&mut headers);
+    let start = match head.parse(bytes)? {
+        httparse::Status::Complete(start) => start,
+        httparse::Status::Partial if bytes.len() > LONGEST_HEAD => return Err(Failure::Length),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let header = |name: &str| {
+        let found = head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        found.map(|header| String::from_utf8_lossy(header.value).trim().to_ascii_lowercase())
+    };
+    if head.code != Some(200) {
+        return Err(Failure::Status(head.code.unwrap_or(0)));
+    }
+    let keeps = head.version == Some(1) && header("connection").is_none_or(|word| word != "close");
+    let rest = &bytes[start..];
+    if rest.len() > LONGEST_BODY {
+        return Err(Failure::Length);
+    }
+    if header("transfer-encoding").is_some_and(|word| word.ends_with("chunked")) {
+        return Ok(chunks(rest)?.map(|body| (body, keeps)));
+    }
+    match header("content-length").map(|digits| digits.parse::<usize>()) {
+        Some(Ok(length)) if length <= LONGEST_BODY => {
+            Ok(rest.get(..length).map(|body| (body.to_vec(), keeps && rest.len() == length)))
+        }
+        Some(_) => Err(Failure::Length),
+        None => Ok(ended.then(|| (rest.to_vec(), false))),
+    }
+}
+
+fn chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, Failure> {
+    let mut body = Vec::new();
+    loop {
+        let (start, length) = match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((start, length))) => (start, length as usize),
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Failure::Length),
+        };
+        if length > LONGEST_BODY {
+            return Err(Failure::Length);
+        }
+        rest = &rest[start..];
+        if length == 0 {
+            // Trailers are passed over; an empty line ends them.
+            let ended = rest.starts_with(b"\r\n") || rest.windows(4).any(|four| four == b"\r\n\r\n");
+            return Ok(ended.then_some(body));
+        }
+        let Some(piece) = rest.get(..length + 2) else { return Ok(None) };
+        body.extend(&piece[..length]);
+        rest = &rest[length + 2..];
+    }
+}
--- /dev/null
+++ b/router/src/engine.rs
@@ -0,0 +1,303 @@
+//! The sole owner of the decision module: its clock, its one timer, and what each RPC is still owed.
+//!
+//! The module acts by calling its host, [`Desk`], which only notes work: orders go to the mailbox of the RPC's
+//! own task, probes and closings to the pool, asks for the list to the directory. So nothing calls the module
+//! from inside one of its own calls.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::FutureExt;
+use quillpoint::Router;
+use quillpoint::host::{
+    CallEnd, CallNo, Extent, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc, RpcId, TenantId,
+};
+
+use crate::config::Deployment;
+use crate::pg::Answer;
+use crate::statement::Statement;
+
+/// Unix time, read once, with a monotonic clock on top: it never goes back.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: Duration,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        Self { unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(), start: Instant::now() }
+    }
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+    pub fn instant(&self, at: Duration) -> Instant {
+        self.start + at.saturating_sub(self.unix)
+    }
+}
+
+/// What an RPC's task is told.
+pub enum Order {
+    CallOut(CallOut),
+    /// Final answers.
+    Answer(Answer),
+    PushBack(Duration),
+    Abort,
+}
+
+/// One call-out that is to be made.
+pub struct CallOut {
+    pub rpc: RpcId,
+    pub call: CallNo,
+    pub node: NodeId,
+    pub at: Duration,
+    /// When it times out, which is no later than its client leaves.
+    pub until: Duration,
+}
+
+/// What the pool is asked for.
+pub enum Chore {
+    Probe(NodeId),
+    CloseIdle(NodeId),
+}
+
+/// What a node's answer told.
+#[derive(Default)]
+pub struct Heard {
+    pub answer: Option<Answer>,
+    pub role: Option<Role>,
+    pub position: Option<Duration>,
+    pub report: Option<Report>,
+}
+
+struct Live {
+    mailbox: Sender<Order>,
+    deadline: Duration,
+    call_outs: u32,
+}
+
+/// The module's host.
+struct Desk {
+    clock: Clock,
+    live: RefCell<BTreeMap<RpcId, Live>>,
+    most_call_outs: u32,
+    /// Call-outs that can not be made, to be ended as such once the module's call is over.
+    unsent: RefCell<Vec<CallOut>>,
+    chores: Sender<Chore>,
+    list: Sender<()>,
+    wake_at: Cell<Option<Duration>>,
+    rearmed: Event,
+}
+
+struct Hand(Rc<Desk>);
+
+impl Desk {
+    /// The final answer: whoever gives it, the RPC is over here.
+    fn finish(&self, rpc: RpcId, order: Order) -> bool {
+        let live = self.live.borrow_mut().remove(&rpc);
+        // Its task may have ended with its client; then nobody is owed the answer.
+        live.is_some_and(|live| live.mailbox.try_send(order).is_ok())
+    }
+}
+
+impl Host for Hand {
+    fn call_out(&mut self, rpc: RpcId, node: NodeId, time_out: Duration) {
+        let at = self.0.clock.now();
+        let mut live = self.0.live.borrow_mut();
+        let Some(entry) = live.get_mut(&rpc) else {
+            // The call's number is unknown here, but so is the RPC to the module by then.
+            let unsent = CallOut { rpc, call: CallNo(u32::MAX), node, at, until: at };
+            return self.0.unsent.borrow_mut().push(unsent);
+        };
+        let call = CallNo(entry.call_outs);
+        entry.call_outs += 1;
+        let order = CallOut { rpc, call, node, at, until: (at + time_out).min(entry.deadline) };
+        if call.0 >= self.0.most_call_outs {
+            return self.0.unsent.borrow_mut().push(order);
+        }
+        _ = entry.mailbox.try_send(Order::CallOut(order));
+    }
+    fn push_back(&mut self, rpc: RpcId, retry_after: Duration) {
+        self.0.finish(rpc, Order::PushBack(retry_after));
+    }
+    fn abort(&mut self, rpc: RpcId) {
+        self.0.finish(rpc, Order::Abort);
+    }
+    fn probe(&mut self, node: NodeId) {
+        _ = self.0.chores.try_send(Chore::Probe(node));
+    }
+    fn close_idle(&mut self, node: NodeId) {
+        _ = self.0.chores.try_send(Chore::CloseIdle(node));
+    }
+    fn watch_list(&mut self) {
+        _ = self.0.list.try_send(());
+    }
+    fn wake(&mut self, after: Duration) {
+        let at = self.0.clock.now() + after;
+        if self.0.wake_at.get().is_none_or(|armed| at < armed) {
+            self.0.wake_at.set(Some(at));
+            self.0.rearmed.notify(1);
+        }
+    }
+    fn log(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+/// Whatever the module needs is told by one method for each thing that can happen.
+pub struct Engine {
+    pub clock: Clock,
+    desk: Rc<Desk>,
+    router: RefCell<Router<Hand>>,
+    methods: Vec<String>,
+    needs_session: Vec<bool>,
+    next_rpc: Cell<u64>,
+    listed: Cell<bool>,
+}
+
+/// Where the module's work for others arrives.
+pub struct Work {
+    pub chores: Receiver<Chore>,
+    pub list: Receiver<()>,
+}
+
+impl Engine {
+    pub fn new(seed: u64, deployment: &Deployment) -> (Rc<Self>, Work) {
+        let (chores, chores_in) = async_channel::unbounded();
+        let (list, list_in) = async_channel::unbounded();
+        let clock = Clock::start();
+        let values = deployment.values.clone();
+        let most_call_outs = values.number("allowed.call_outs").unwrap_or(1.0) as u32;
+        let session =
+            |place| matches!(values.text(&format!("replication.needs.{place}")), "write" | "session");
+        let needs_session = (0..deployment.methods.len()).map(session).collect();
+        let desk = Rc::new(Desk {
+            clock,
+            live: RefCell::default(),
+            most_call_outs,
+            unsent: RefCell::default(),
+            chores,
+            list,
+            wake_at: Cell::new(None),
+            rearmed: Event::new(),
+        });
+        let router = RefCell::new(Router::new(Hand(Rc::clone(&desk)), seed, values, clock.now()));
+        let (methods, next_rpc) = (deployment.methods.clone(), Cell::new(0));
+        let engine = Self { clock, desk, router, methods, needs_session, next_rpc, listed: Cell::new(false) };
+        (Rc::new(engine), Work { chores: chores_in, list: list_in })
+    }
+
+    /// The one way to the module.
+    fn tell<T>(&self, what: impl FnOnce(&mut Router<Hand>, Duration) -> T) -> T {
+        let told = what(&mut self.router.borrow_mut(), self.clock.now());
+        loop {
+            let Some(unsent) = self.desk.unsent.borrow_mut().pop() else { return told };
+            self.end(unsent, Outcome::NotSent, Heard::default());
+        }
+    }
+
+    fn end(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
+        let CallOut { rpc, call, node, at, .. } = call_out;
+        if let Some(answer) = heard.answer.filter(|_| outcome == Outcome::Ok) {
+            // The first ok goes to the client by itself.
+            self.desk.finish(rpc, Order::Answer(answer));
+        }
+        let finished = !self.desk.live.borrow().contains_key(&rpc);
+        let took = self.clock.now().saturating_sub(at);
+        let (role, position, report) = (heard.role, heard.position, heard.report);
+        let end = CallEnd { rpc, call, node, outcome, finished, took, role, position, report };
+        self.router.borrow_mut().call_ended(self.clock.now(), end);
+    }
+
+    /// Whether RPCs can be decided: the list of nodes has come.
+    pub fn is_ready(&self) -> bool {
+        self.listed.get()
+    }
+
+    pub fn held(&self) -> usize {
+        self.desk.live.borrow().len()
+    }
+
+    pub fn method(&self, name: &str) -> Option<MethodId> {
+        self.methods.iter().position(|known| known == name).map(MethodId)
+    }
+
+    /// The RPC's id, and where its orders arrive.
+    pub fn rpc_arrived(&self, method: MethodId, statement: &Statement) -> (RpcId, Receiver<Order>) {
+        let (mailbox, orders) = async_channel::unbounded();
+        // Counted here: a client's own id could come twice, and must not mix up two RPCs.
+        let id = RpcId(self.next_rpc.get());
+        self.next_rpc.set(id.0 + 1);
+        let now = self.clock.now();
+        let live = Live { mailbox, deadline: now + statement.wait, call_outs: 0 };
+        self.desk.live.borrow_mut().insert(id, live);
+        let rpc = Rpc {
+            id,
+            method,
+            tenant: TenantId(0),
+            session: statement.session.filter(|_| self.needs_session[method.0]),
+            group: statement.group,
+            remaining: statement.wait,
+            work: None,
+            since_write: statement.after.map(|at| now.saturating_sub(at)),
+            retried: statement.retried,
+        };
+        self.tell(|router, now| router.rpc_arrived(now, rpc));
+        (id, orders)
+    }
+
+    pub fn client_left(&self, rpc: RpcId) {
+        if self.desk.live.borrow_mut().remove(&rpc).is_some() {
+            self.tell(|router, _| router.client_left(rpc));
+        }
+    }
+
+    pub fn call_ended(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
+        self.end(call_out, outcome, heard);
+        self.tell(|_, _| ());
+    }
+
+    pub fn probe_ended(&self, node: NodeId, outcome: Outcome, report: Option<Report>) {
+        self.tell(|router, now| router.probe_ended(now, node, outcome, report));
+    }
+
+    pub fn list_changed(&self, extent: Extent, lines: &[Listed]) {
+        self.listed.set(self.listed.get() || !lines.is_empty());
+        self.tell(|router, now| router.list_changed(now, extent, lines));
+    }
+
+    pub fn list_failed(&self) {
+        self.tell(|router, now| router.list_failed(now));
+    }
+
+    /// The one timer. An earlier wake replaces a later one, after which the module asks anew.
+    pub async fn keep_time(&self) {
+        loop {
+            let rearmed = self.desk.rearmed.listen();
+            let due = self.desk.wake_at.get();
+            let sleep = async {
+                match due {
+                    Some(at) => _ = Timer::at(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+                true
+            };
+            let slept = sleep
+                .or(async {
+                    rearmed.await;
+                    false
+                })
+                .await;
+            // Never early: a timer that fired early would find nothing due.
+            if slept && due.is_some_and(|at| at <= self.clock.now()) {
+                self.desk.wake_at.set(None);
+                self.tell(|router, now| router.timer_fired(now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,16 @@
+//! quillpoint on sockets: a router between PostgreSQL clients and a primary with its replicas.
+//!
+//! [`config::Launch`] holds what a router is told; [`serve::serve`] runs one until it has drained. Every
+//! choice is made by the `quillpoint` package; this one carries it out.
+
+pub mod client;
+pub mod command;
+pub mod config;
+pub mod descriptors;
+pub mod directory;
+pub mod drain;
+pub mod engine;
+pub mod pg;
+pub mod pool;
+pub mod serve;
+pub mod statement;
--- /dev/null
+++ b/router/src/pool.rs
@@ -0,0 +1,354 @@
+//! The sole owner of connections to nodes: they are opened, lent and given back here.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::TcpStream;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use quillpoint::host::{NodeId, Outcome, Report, Role};
+
+use crate::config::Deployment;
+use crate::descriptors::{Descriptors, Parked, Slot};
+use crate::engine::{CallOut, Chore, Engine, Heard};
+use crate::pg::{self, Answer, Broken, Told};
+
+/// Nodes accept any user; these are the ones that clients name.
+const USER: &str = "portal";
+const DATABASE: &str = "crm";
+/// An idle connection is given up at this part of the time after which its node closes it.
+const IDLE_PART: f64 = 0.8;
+/// A probe that needs no more than what any answer can carry.
+const PROBE: &[u8] = b"SHOW load";
+
+/// Why an exchange came to no whole answer.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Broken(#[from] Broken),
+    #[error("the connection ended")]
+    Ended,
+}
+
+/// One connection to a node, with what has been read of it.
+struct Link {
+    stream: Async<TcpStream>,
+    unread: Vec<u8>,
+    /// Whether the last byte of the query it carries has been written.
+    written: bool,
+    _slot: Slot,
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+    place: u64,
+    _parked: Parked,
+}
+
+/// What a call-out that waits for a connection gets.
+type Lent = Result<Link, Outcome>;
+
+#[derive(Default)]
+struct Node {
+    /// The most recently used one last.
+    idle: Vec<Idle>,
+    /// Call-outs that wait, the first come first. Each has a connection of its own being opened, but takes
+    /// whichever comes first.
+    waiting: VecDeque<Sender<Lent>>,
+}
+
+pub struct Pool {
+    executor: Rc<LocalExecutor<'static>>,
+    descriptors: Rc<Descriptors>,
+    nodes: RefCell<BTreeMap<NodeId, Node>>,
+    next: Cell<u64>,
+    connect_time_out: Duration,
+    idle_time: Duration,
+    report_fields: Vec<String>,
+}
+
+impl Pool {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        descriptors: Rc<Descriptors>,
+        deployment: &Deployment,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            executor,
+            descriptors,
+            nodes: RefCell::default(),
+            next: Cell::new(0),
+            connect_time_out: deployment.connect_time_out,
+            idle_time: deployment.idle_time.mul_f64(IDLE_PART),
+            report_fields: deployment.report_fields.clone(),
+        })
+    }
+
+    /// Does what the module asks of the pool.
+    pub async fn run(self: Rc<Self>, engine: Rc<Engine>, chores: Receiver<Chore>) {
+        while let Ok(chore) = chores.recv().await {
+            match chore {
+                Chore::CloseIdle(node) => {
+                    if let Some(node) = self.nodes.borrow_mut().get_mut(&node) {
+                        node.idle.clear();
+                    }
+                }
+                Chore::Probe(node) => {
+                    let (pool, engine) = (Rc::clone(&self), Rc::clone(&engine));
+                    let probe = async move {
+                        let until = Instant::now() + pool.connect_time_out;
+                        let (outcome, heard) = pool.exchange(node, PROBE, until).await;
+                        // The row is the report, for a probe.
+                        let row = heard.answer.and_then(|answer| answer.value);
+                        let row = row.and_then(|bytes| String::from_utf8(bytes).ok());
+                        let report = row.and_then(|text| pool.report(&text)).or(heard.report);
+                        engine.probe_ended(node, outcome, report);
+                    };
+                    self.executor.spawn(probe).detach();
+                }
+            }
+        }
+    }
+
+    /// Makes a call-out; its end is told to the engine, whether or not its RPC is over by then.
+    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Vec<u8>) {
+        let pool = Rc::clone(self);
+        let task = async move {
+            let until = engine.clock.instant(call_out.until);
+            let (outcome, heard) = pool.exchange(call_out.node, &statement, until).await;
+            engine.call_ended(call_out, outcome, heard);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// One query to a node and its outcome. The connection is back in the pool, or closed, before this ends.
+    async fn exchange(self: &Rc<Self>, node: NodeId, query: &[u8], until: Instant) -> (Outcome, Heard) {
+        let mut heard = Heard::default();
+        loop {
+            let (mut link, used) = match self.idle(node) {
+                Some(link) => (link, true),
+                None => {
+                    let late = async {
+                        Timer::at(until).await;
+                        Err(Outcome::NotSent)
+                    };
+                    match self.lend(node).or(late).await {
+                        Ok(link) => (link, false),
+                        Err(outcome) => return (outcome, heard),
+                    }
+                }
+            };
+            let late = async {
+                Timer::at(until).await;
+                None
+            };
+            let ended = async { Some(self.ask(&mut link, query, &mut heard).await) }.or(late).await;
+            return match ended {
+                Some(Ok(outcome)) => {
+                    self.give_back(node, link);
+                    (outcome, heard)
+                }
+                Some(Err((Some(outcome), _))) => (outcome, heard),
+                // A node may close an idle connection at any time. What it has not been sent whole cannot have
+                // run, so a used connection that breaks before that is no failure of the call-out.
+                Some(Err((None, _))) if used && !link.written => continue,
+                Some(Err((None, fault))) => {
+                    log::debug!("{}: {fault}", node.0);
+                    (if link.written { Outcome::Reset } else { Outcome::ConnectFailed }, heard)
+                }
+                None => (if link.written { Outcome::TimedOut } else { Outcome::NotSent }, heard),
+            };
+        }
+    }
+
+    /// Sends the query and reads up to ReadyForQuery. An error that comes with an outcome is the node's last
+    /// word on a connection that it then ended.
+    async fn ask(
+        &self,
+        link: &mut Link,
+        query: &[u8],
+        heard: &mut Heard,
+    ) -> Result<Outcome, (Option<Outcome>, Fault)> {
+        let mut message = Vec::with_capacity(query.len() + 6);
+        pg::put_query(&mut message, query);
+        link.written = false;
+        link.stream.write_all(&message).await.map_err(|error| (None, error.into()))?;
+        link.written = true;
+        drop(message);
+        let (mut outcome, mut column, mut value) = (None, None, None);
+        loop {
+            match link.told().await.map_err(|fault| (outcome, fault))? {
+                Told::Parameter { name, value } => self.note(&name, &value, heard),
+                Told::Columns(columns) => column = columns.into_iter().next(),
+                Told::Row(values) => value = values.into_iter().next(),
+                Told::Complete(tag) => {
+                    // Without a row there is nothing to pass on, though it has run.
+                    let row = column.take().zip(value.take());
+                    outcome = Some(if row.is_some() { Outcome::Ok } else { Outcome::Error });
+                    heard.answer = row.map(|(column, value)| Answer { column, value, tag });
+                }
+                Told::Error { code, message, fatal } => {
+                    log::debug!("a node answered {code}: {message}");
+                    outcome = Some(match code.as_str() {
+                        "25006" | "72000" => Outcome::Miss,
+                        "53300" | "57P03" => Outcome::Full,
+                        _ => Outcome::Error,
+                    });
+                    if fatal {
+                        return Err((outcome, Fault::Ended));
+                    }
+                }
+                Told::Ready => return outcome.ok_or((None, Fault::Broken(Broken::Type('Z')))),
+                Told::EmptyQuery | Told::Passing | Told::Authentication(_) => {}
+            }
+        }
+    }
+
+    fn note(&self, name: &str, value: &str, heard: &mut Heard) {
+        match (name, value) {
+            ("role", "primary") => heard.role = Some(Role::Primary),
+            ("role", "replica") => heard.role = Some(Role::Replica),
+            ("applied_ms", ms) => heard.position = ms.parse().ok().map(Duration::from_millis),
+            ("load", report) => heard.report = self.report(report),
+            _ => {}
+        }
+    }
+
+    /// `name=value` pairs, or bare values in the order of the settings' names.
+    fn report(&self, text: &str) -> Option<Report> {
+        let mut report = Report::default();
+        for (place, pair) in text.split(',').enumerate() {
+            let field = self.report_fields.get(place).map_or("", String::as_str);
+            let (name, value) = pair.split_once('=').unwrap_or((field, pair));
+            quillpoint_settings::enter(&mut report, name.trim(), value.trim().parse().ok()?, Duration::ZERO);
+        }
+        Some(report)
+    }
+
+    /// The most recently used idle connection that is still good.
+    fn idle(&self, node: NodeId) -> Option<Link> {
+        let mut nodes = self.nodes.borrow_mut();
+        let node = nodes.get_mut(&node)?;
+        while let Some(Idle { link, since, .. }) = node.idle.pop() {
+            if since.elapsed() >= self.idle_time {
+                // The ones below have stood longer.
+                node.idle.clear();
+            } else if link.is_quiet() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// A connection for one call-out: its own, or one that is given back earlier.
+    async fn lend(self: &Rc<Self>, node: NodeId) -> Lent {
+        let (lender, lent) = async_channel::bounded(1);
+        self.nodes.borrow_mut().entry(node).or_default().waiting.push_back(lender);
+        let pool = Rc::clone(self);
+        let open = async move {
+            // It goes on when its call-out has ended: what has been paid for serves the next.
+            let late = async {
+                Timer::after(pool.connect_time_out).await;
+                Err(Fault::Ended)
+            };
+            match Link::open(node, &pool.descriptors).or(late).await {
+                Ok(link) => pool.give_back(node, link),
+                Err(fault) => {
+                    log::debug!("{}: no connection: {fault}", node.0);
+                    pool.hand_out(node, Err(Outcome::ConnectFailed));
+                }
+            }
+        };
+        self.executor.spawn(open).detach();
+        lent.recv().await.unwrap_or(Err(Outcome::NotSent))
+    }
+
+    /// To the first that still waits; what nobody waited for comes back.
+    fn hand_out(&self, node: NodeId, mut lent: Lent) -> Option<Lent> {
+        let mut nodes = self.nodes.borrow_mut();
+        let node = nodes.entry(node).or_default();
+        while let Some(waiting) = node.waiting.pop_front() {
+            match waiting.try_send(lent) {
+                Ok(()) => return None,
+                Err(back) => lent = back.into_inner(),
+            }
+        }
+        Some(lent)
+    }
+
+    /// The one place where a connection comes back.
+    fn give_back(self: &Rc<Self>, node: NodeId, link: Link) {
+        if !link.is_quiet() {
+            return;
+        }
+        let Some(Ok(link)) = self.hand_out(node, Ok(link)) else { return };
+        let place = self.next.get();
+        self.next.set(place + 1);
+        let pool = Rc::downgrade(self);
+        let close = move || {
+            if let Some(pool) = Weak::upgrade(&pool)
+                && let Some(node) = pool.nodes.borrow_mut().get_mut(&node)
+            {
+                node.idle.retain(|idle| idle.place != place);
+            }
+        };
+        let _parked = self.descriptors.park(close);
+        let idle = Idle { link, since: Instant::now(), place, _parked };
+        self.nodes.borrow_mut().entry(node).or_default().idle.push(idle);
+    }
+}
+
+impl Link {
+    /// Connects, and is greeted up to ReadyForQuery.
+    async fn open(node: NodeId, descriptors: &Rc<Descriptors>) -> Result<Self, Fault> {
+        let slot = descriptors.take().await;
+        let stream = Async::<TcpStream>::connect(node.0).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let mut link = Link { stream, unread: Vec::new(), written: false, _slot: slot };
+        let mut startup = Vec::new();
+        pg::put_startup(&mut startup, USER, DATABASE);
+        link.stream.write_all(&startup).await?;
+        loop {
+            match link.told().await? {
+                Told::Ready => return Ok(link),
+                Told::Error { code, message, .. } => {
+                    log::debug!("{} turned a connection away with {code}: {message}", node.0);
+                    return Err(Fault::Ended);
+                }
+                Told::Authentication(kind) if kind != 0 => {
+                    log::warn!("{} asks for a password, which routers have none of", node.0);
+                    return Err(Fault::Ended);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn told(&mut self) -> Result<Told, Fault> {
+        loop {
+            if let Some((told, taken)) = pg::told(&self.unread)? {
+                self.unread.drain(..taken);
+                return Ok(told);
+            }
+            let mut piece = [0; 4096];
+            match self.stream.read(&mut piece).await? {
+                0 => return Err(Fault::Ended),
+                count => self.unread.extend(&piece[..count]),
+            }
+        }
+    }
+
+    /// Nothing unread, and not ended by the node.
+    fn is_quiet(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        self.unread.is_empty() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
--- a/adapter/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,12 +1,11 @@
-//! The settings object as a flat map from names in the project's words to values. Renaming only.
+//! The settings object as a flat map from names in the project's words to values, and the fields of load
+//! reports. Renaming only.
 
 use std::time::Duration;
 
-use quillpoint::host::{Value, ValueMap};
+use quillpoint::host::{Report, Value, ValueMap};
 use serde_json::Value as Json;
 
-use crate::Fault;
-
 /// The wire's word for a part of a name, and ours. A key that is not here is skipped.
 const NAMES: &[(&str, &str)] = &[
     ("AimStretch", "soft_deadline_per_work"),
@@ -98,11 +97,15 @@
     ("utility_by", "request", "rpc"),
 ];
 
-pub fn flat(text: &str) -> Result<ValueMap, Fault> {
-    let tree: Json = serde_json::from_str(text).map_err(Fault::Settings)?;
+pub fn flat(text: &str) -> Result<ValueMap, serde_json::Error> {
+    Ok(flat_tree(&serde_json::from_str(text)?))
+}
+
+/// The same for an object that stands within a larger one.
+pub fn flat_tree(tree: &Json) -> ValueMap {
     let mut flat = ValueMap::default();
-    put(&tree, "", "", false, &mut flat);
-    Ok(flat)
+    put(tree, "", "", false, &mut flat);
+    flat
 }
 
 /// `word` is the last name on the way here that is not a place in a list.
@@ -142,3 +145,15 @@
 pub fn span(ms: f64) -> Duration {
     Duration::from_micros((ms * 1000.0).round().max(0.0) as u64)
 }
+
+/// Enters one field of a load report, by the wire's name or the simulator's. Positions count from `origin`.
+pub fn enter(report: &mut Report, name: &str, value: f64, origin: Duration) {
+    match name {
+        "x0" => report.position = Some(origin + span(value * 1000.0)),
+        "x1" => report.primary = Some(value > 0.0),
+        "active" | "inflight" => report.active = Some(value),
+        "waiting" | "queue" => report.waiting = Some(value),
+        "cpu" | "util" => report.busy = Some(value),
+        _ => {}
+    }
+}
