Unsent RPCs are given up by half time; waited-for connections are checked before a write

At fault: last_use, which let an RPC wait up to its last use whether or not any node had seen it.

Also: a bound counts from the last byte of the send, so a call-out that had to wait for its connection is checked by the module again before it is written (still_goes). Idle connections are closed a connect time-out before their node does; half-sent messages and unread answers time out; a kept connection to discovery that has ended is replaced without ending the watch.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -5,13 +5,15 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
+use quillpoint::host::Outcome;
+
 use crate::config::Deployment;
 use crate::descriptors::{Descriptors, Slot};
 use crate::engine::{Engine, Order};
@@ -19,6 +21,8 @@
 use crate::pool::Pool;
 use crate::statement::Statement;
 
+/// How much is read at once.
+const PIECE: usize = 4096;
 /// A pause after a failed accept, so that a failure that lasts does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
@@ -171,10 +175,17 @@
                     pg::put_ready(&mut out);
                 }
             }
-            self.stream.write_all(&out).await?;
+            self.send(&out).await?;
         }
     }
 
+    /// One write for an answer. A client that does not read it is not waited for for ever.
+    async fn send(&mut self, out: &[u8]) -> Result<(), End> {
+        let late = late(Instant::now() + self.clients.patience);
+        let written = async { Ok(self.stream.write_all(out).await?) };
+        written.or(late).await
+    }
+
     /// Whether a session begins.
     async fn open(&mut self) -> Result<bool, End> {
         loop {
@@ -184,7 +195,7 @@
                 Opening::Encryption => out.push(b'N'),
                 Opening::Startup => pg::put_welcome(&mut out),
             }
-            self.stream.write_all(&out).await?;
+            self.send(&out).await?;
             if out.len() > 1 {
                 return Ok(true);
             }
@@ -196,36 +207,32 @@
         &mut self,
         decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, Broken>,
     ) -> Result<T, End> {
+        let mut whole_by = None;
         loop {
             if let Some((message, taken)) = decode(&self.unread)? {
                 self.unread.drain(..taken);
                 if self.unread.is_empty() {
-                    self.unread.shrink_to(4096);
+                    self.unread.shrink_to(PIECE);
                 }
                 return Ok(message);
             }
-            if self.unread.is_empty() && self.clients.draining.get() {
-                return Err(End::Closed);
+            if !self.unread.is_empty() {
+                // Its first byte has come, so the rest is due: a trickle does not put that off.
+                let by = *whole_by.get_or_insert_with(|| Instant::now() + self.clients.patience);
+                read(&self.stream, &mut self.unread).or(late(by)).await?;
+                continue;
             }
-            let idle = self.unread.is_empty();
+            // While it drains, a router still takes what has arrived by now.
+            let draining = self.clients.draining.get();
             let (close, closed) = (self.close.clone(), self.closed.clone());
-            let parked = idle.then(|| self.clients.descriptors.park(move || _ = close.try_send(())));
-            let patience = self.clients.patience;
+            let _parked = self.clients.descriptors.park(move || _ = close.try_send(()));
             let closing = async {
-                match idle {
-                    true => {
-                        _ = closed.recv().await;
-                        Err(End::Closed)
-                    }
-                    false => {
-                        Timer::after(patience).await;
-                        Err(End::Late)
-                    }
+                if !draining {
+                    _ = closed.recv().await;
                 }
+                Err(End::Closed)
             };
-            let read = read(&self.stream, &mut self.unread);
-            read.or(closing).await?;
-            drop(parked);
+            read(&self.stream, &mut self.unread).or(closing).await?;
         }
     }
 
@@ -256,14 +263,14 @@
             pg::put_error(out, false, "53300", "this router holds all the RPCs it may", None);
             return Ok(());
         }
+        let statement = Rc::new(statement);
         let (rpc, orders) = engine.rpc_arrived(method, &statement);
         loop {
             let order = async { Ok(orders.recv().await.ok()) };
             let left = async { Err(self.left().await) };
             match order.or(left).await {
                 Ok(Some(Order::CallOut(call_out))) => {
-                    let wait = call_out.until.saturating_sub(engine.clock.now());
-                    clients.pool.call_out(Rc::clone(engine), call_out, statement.with_wait(wait));
+                    clients.pool.call_out(Rc::clone(engine), call_out, Rc::clone(&statement));
                 }
                 Ok(Some(Order::Answer(answer))) => {
                     pg::put_answer(out, &answer);
@@ -275,8 +282,14 @@
                     pg::put_error(out, false, "53300", "nothing ran, so trying again is harmless", detail);
                     return Ok(());
                 }
-                Ok(Some(Order::Abort) | None) => {
-                    pg::put_error(out, false, "08006", "no node answered, and it may have run", None);
+                Ok(Some(Order::Abort(last))) => {
+                    let (code, message) = cause(last);
+                    pg::put_error(out, false, code, message, None);
+                    return Ok(());
+                }
+                // The engine gives each RPC its final answer; without one nothing is known of it.
+                Ok(None) => {
+                    pg::put_error(out, false, "XX000", "the RPC was dropped", None);
                     return Ok(());
                 }
                 Err(end) => {
@@ -301,8 +314,22 @@
     }
 }
 
+/// The SQLSTATE of an abort, and its words, by how the last call-out ended.
+fn cause(last: Option<Outcome>) -> (&'static str, &'static str) {
+    match last {
+        Some(Outcome::Reset) => ("08006", "the connection to the node broke; it may have run"),
+        Some(Outcome::Error) => ("58000", "the node failed with it; it may have run"),
+        _ => ("57014", "no answer came in time; it may have run"),
+    }
+}
+
+async fn late<T>(by: Instant) -> Result<T, End> {
+    Timer::at(by).await;
+    Err(End::Late)
+}
+
 async fn read(stream: &Async<TcpStream>, unread: &mut Vec<u8>) -> Result<(), End> {
-    let mut piece = [0; 4096];
+    let mut piece = [0; PIECE];
     let mut stream = stream;
     match stream.read(&mut piece).await? {
         0 => Err(End::Left),
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -29,6 +29,8 @@
 pub enum Failure {
     #[error("no answer in time")]
     Late,
+    #[error("the connection ended without an answer")]
+    Ended,
     #[error("{0}")]
     Io(#[from] std::io::Error),
     #[error("the answer is no HTTP: {0}")]
@@ -207,13 +209,20 @@
     }
 
     async fn fetch(&mut self, path: &str) -> Result<Page, Failure> {
-        let (mut stream, slot) = match self.connection.take() {
-            Some(kept) => kept,
-            None => {
-                let slot = self.descriptors.take().await;
-                (Async::<TcpStream>::connect(self.address).await?, slot)
+        // A kept connection may have ended since. A call that it did not answer is made anew at once, so that
+        // the watch goes on.
+        if let Some((stream, slot)) = self.connection.take() {
+            match self.ask(stream, slot, path).await {
+                Err(Failure::Io(_) | Failure::Ended) => log::debug!("the connection to discovery has ended"),
+                other => return other,
             }
-        };
+        }
+        let slot = self.descriptors.take().await;
+        let stream = Async::<TcpStream>::connect(self.address).await?;
+        self.ask(stream, slot, path).await
+    }
+
+    async fn ask(&mut self, mut stream: Async<TcpStream>, slot: Slot, path: &str) -> Result<Page, Failure> {
         let host = self.address;
         let call = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
         stream.write_all(call.as_bytes()).await?;
@@ -223,11 +232,11 @@
                 break whole;
             }
             let mut piece = [0; 4096];
-            let count = stream.read(&mut piece).await?;
-            if count == 0 {
-                break answer(&bytes, true)?.ok_or(Failure::Length)?;
+            match stream.read(&mut piece).await? {
+                0 if bytes.is_empty() => return Err(Failure::Ended),
+                0 => break answer(&bytes, true)?.ok_or(Failure::Length)?,
+                count => bytes.extend(&piece[..count]),
             }
-            bytes.extend(&piece[..count]);
         };
         let page = serde_json::from_slice(&body)?;
         self.connection = kept.then_some((stream, slot));
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -47,7 +47,8 @@
     /// Final answers.
     Answer(Answer),
     PushBack(Duration),
-    Abort,
+    /// With how its last call-out ended, if one has.
+    Abort(Option<Outcome>),
 }
 
 /// One call-out that is to be made.
@@ -79,6 +80,7 @@
     mailbox: Sender<Order>,
     deadline: Duration,
     call_outs: u32,
+    last: Option<Outcome>,
 }
 
 /// The module's host.
@@ -98,10 +100,11 @@
 
 impl Desk {
     /// The final answer: whoever gives it, the RPC is over here.
-    fn finish(&self, rpc: RpcId, order: Order) -> bool {
-        let live = self.live.borrow_mut().remove(&rpc);
-        // Its task may have ended with its client; then nobody is owed the answer.
-        live.is_some_and(|live| live.mailbox.try_send(order).is_ok())
+    fn finish(&self, rpc: RpcId, order: impl FnOnce(&Live) -> Order) {
+        if let Some(live) = self.live.borrow_mut().remove(&rpc) {
+            // Its task may have ended with its client; then nobody is owed the answer.
+            _ = live.mailbox.try_send(order(&live));
+        }
     }
 }
 
@@ -123,10 +126,10 @@
         _ = entry.mailbox.try_send(Order::CallOut(order));
     }
     fn push_back(&mut self, rpc: RpcId, retry_after: Duration) {
-        self.0.finish(rpc, Order::PushBack(retry_after));
+        self.0.finish(rpc, |_| Order::PushBack(retry_after));
     }
     fn abort(&mut self, rpc: RpcId) {
-        self.0.finish(rpc, Order::Abort);
+        self.0.finish(rpc, |live| Order::Abort(live.last));
     }
     fn probe(&mut self, node: NodeId) {
         _ = self.0.chores.try_send(Chore::Probe(node));
@@ -205,9 +208,15 @@
         let CallOut { rpc, call, node, at, .. } = call_out;
         if let Some(answer) = heard.answer.filter(|_| outcome == Outcome::Ok) {
             // The first ok goes to the client by itself.
-            self.desk.finish(rpc, Order::Answer(answer));
+            self.desk.finish(rpc, |_| Order::Answer(answer));
         }
-        let finished = !self.desk.live.borrow().contains_key(&rpc);
+        let finished = match self.desk.live.borrow_mut().get_mut(&rpc) {
+            Some(live) => {
+                live.last = Some(outcome);
+                false
+            }
+            None => true,
+        };
         let took = self.clock.now().saturating_sub(at);
         let (role, position, report) = (heard.role, heard.position, heard.report);
         let end = CallEnd { rpc, call, node, outcome, finished, took, role, position, report };
@@ -234,7 +243,7 @@
         let id = RpcId(self.next_rpc.get());
         self.next_rpc.set(id.0 + 1);
         let now = self.clock.now();
-        let live = Live { mailbox, deadline: now + statement.wait, call_outs: 0 };
+        let live = Live { mailbox, deadline: now + statement.wait, call_outs: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
@@ -257,6 +266,11 @@
         }
     }
 
+    /// Whether a call-out that has waited for its connection may still be written.
+    pub fn still_goes(&self, call_out: &CallOut) -> bool {
+        self.router.borrow().still_goes(self.clock.now(), call_out.rpc, call_out.node)
+    }
+
     pub fn call_ended(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
         self.end(call_out, outcome, heard);
         self.tell(|_, _| ());
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -17,12 +17,13 @@
 use crate::descriptors::{Descriptors, Parked, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
 use crate::pg::{self, Answer, Broken, Told};
+use crate::statement::Statement;
 
 /// Nodes accept any user; these are the ones that clients name.
 const USER: &str = "portal";
 const DATABASE: &str = "crm";
-/// An idle connection is given up at this part of the time after which its node closes it.
-const IDLE_PART: f64 = 0.8;
+/// A line on one node's state follows the last one no sooner.
+const LINE_EVERY: Duration = Duration::from_secs(1);
 /// A probe that needs no more than what any answer can carry.
 const PROBE: &[u8] = b"SHOW load";
 
@@ -35,6 +36,14 @@
     Broken(#[from] Broken),
     #[error("the connection ended")]
     Ended,
+    #[error("it did not come up in time")]
+    Late,
+}
+
+/// `then`, at that time.
+async fn at<T>(time: Instant, then: T) -> T {
+    Timer::at(time).await;
+    then
 }
 
 /// One connection to a node, with what has been read of it.
@@ -63,6 +72,9 @@
     /// Call-outs that wait, the first come first. Each has a connection of its own being opened, but takes
     /// whichever comes first.
     waiting: VecDeque<Sender<Lent>>,
+    /// Whether it was last found out of reach, as the log has it, and when that was told.
+    out_of_reach: bool,
+    told: Option<Instant>,
 }
 
 pub struct Pool {
@@ -87,7 +99,8 @@
             nodes: RefCell::default(),
             next: Cell::new(0),
             connect_time_out: deployment.connect_time_out,
-            idle_time: deployment.idle_time.mul_f64(IDLE_PART),
+            // A query may be under way for as long as a connect may take, and must not cross its node's closing.
+            idle_time: deployment.idle_time.saturating_sub(deployment.connect_time_out),
             report_fields: deployment.report_fields.clone(),
         })
     }
@@ -105,7 +118,7 @@
                     let (pool, engine) = (Rc::clone(&self), Rc::clone(&engine));
                     let probe = async move {
                         let until = Instant::now() + pool.connect_time_out;
-                        let (outcome, heard) = pool.exchange(node, PROBE, until).await;
+                        let (outcome, heard) = pool.exchange(node, until, |_| Some(PROBE.to_vec())).await;
                         // The row is the report, for a probe.
                         let row = heard.answer.and_then(|answer| answer.value);
                         let row = row.and_then(|bytes| String::from_utf8(bytes).ok());
@@ -118,40 +131,61 @@
         }
     }
 
+    /// Closes what has stood idle for as long as it may.
+    pub async fn close_old(self: Rc<Self>) {
+        loop {
+            let oldest = self.nodes.borrow().values().filter_map(|node| Some(node.idle.first()?.since)).min();
+            let next = oldest.unwrap_or_else(Instant::now) + self.idle_time;
+            Timer::at(next).await;
+            for node in self.nodes.borrow_mut().values_mut() {
+                node.idle.retain(|idle| idle.since.elapsed() < self.idle_time);
+            }
+        }
+    }
+
     /// Makes a call-out; its end is told to the engine, whether or not its RPC is over by then.
-    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Vec<u8>) {
+    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Rc<Statement>) {
         let pool = Rc::clone(self);
         let task = async move {
             let until = engine.clock.instant(call_out.until);
-            let (outcome, heard) = pool.exchange(call_out.node, &statement, until).await;
+            // Guards against a read that has become too old while its connection was being opened, and against
+            // one whose RPC is over by then.
+            let query = |waited: bool| {
+                let goes = !waited || engine.still_goes(&call_out);
+                goes.then(|| statement.with_wait(call_out.until.saturating_sub(engine.clock.now())))
+            };
+            let (outcome, heard) = pool.exchange(call_out.node, until, query).await;
+            pool.tell_reach(call_out.node, outcome);
             engine.call_ended(call_out, outcome, heard);
         };
         self.executor.spawn(task).detach();
     }
 
-    /// One query to a node and its outcome. The connection is back in the pool, or closed, before this ends.
-    async fn exchange(self: &Rc<Self>, node: NodeId, query: &[u8], until: Instant) -> (Outcome, Heard) {
+    /// One query to a node and its outcome. What is asked is settled when there is a connection for it, and it
+    /// may be told that it had to wait. The connection is back in the pool, or closed, before this ends.
+    async fn exchange(
+        self: &Rc<Self>,
+        node: NodeId,
+        until: Instant,
+        query: impl Fn(bool) -> Option<Vec<u8>>,
+    ) -> (Outcome, Heard) {
         let mut heard = Heard::default();
         loop {
-            let (mut link, used) = match self.idle(node) {
-                Some(link) => (link, true),
-                None => {
-                    let late = async {
-                        Timer::at(until).await;
-                        Err(Outcome::NotSent)
-                    };
-                    match self.lend(node).or(late).await {
-                        Ok(link) => (link, false),
-                        Err(outcome) => return (outcome, heard),
-                    }
-                }
+            let idle = self.idle(node);
+            let waited = idle.is_none();
+            let mut link = match idle {
+                Some(link) => link,
+                None => match self.lend(node).or(at(until, Err(Outcome::NotSent))).await {
+                    Ok(link) => link,
+                    Err(outcome) => return (outcome, heard),
+                },
             };
-            let late = async {
-                Timer::at(until).await;
-                None
+            let Some(query) = query(waited) else {
+                self.give_back(node, link);
+                return (Outcome::NotSent, heard);
             };
-            let ended = async { Some(self.ask(&mut link, query, &mut heard).await) }.or(late).await;
-            return match ended {
+            let asked = async { Some(self.ask(&mut link, &query, &mut heard).await) };
+            return match asked.or(at(until, None)).await {
                 Some(Ok(outcome)) => {
                     self.give_back(node, link);
                     (outcome, heard)
@@ -159,7 +193,7 @@
                 Some(Err((Some(outcome), _))) => (outcome, heard),
                 // A node may close an idle connection at any time. What it has not been sent whole cannot have
                 // run, so a used connection that breaks before that is no failure of the call-out.
-                Some(Err((None, _))) if used && !link.written => continue,
+                Some(Err((None, _))) if !waited && !link.written => continue,
                 Some(Err((None, fault))) => {
                     log::debug!("{}: {fault}", node.0);
                     (if link.written { Outcome::Reset } else { Outcome::ConnectFailed }, heard)
@@ -169,6 +203,26 @@
         }
     }
 
+    /// A line when a node goes out of reach, and one when it is back.
+    fn tell_reach(&self, node: NodeId, outcome: Outcome) {
+        let out_of_reach = match outcome {
+            Outcome::ConnectFailed | Outcome::Reset => true,
+            Outcome::Ok | Outcome::Miss | Outcome::Error | Outcome::Full => false,
+            _ => return,
+        };
+        let mut nodes = self.nodes.borrow_mut();
+        let entry = nodes.entry(node).or_default();
+        let recent = entry.told.is_some_and(|told| told.elapsed() < LINE_EVERY);
+        if out_of_reach == entry.out_of_reach || recent {
+            return;
+        }
+        (entry.out_of_reach, entry.told) = (out_of_reach, Some(Instant::now()));
+        match out_of_reach {
+            true => log::warn!("node {} out of reach: {outcome:?}", node.0),
+            false => log::info!("node {} answers again", node.0),
+        }
+    }
+
     /// Sends the query and reads up to ReadyForQuery. An error that comes with an outcome is the node's last
     /// word on a connection that it then ended.
     async fn ask(
@@ -255,10 +309,7 @@
         let pool = Rc::clone(self);
         let open = async move {
             // It goes on when its call-out has ended: what has been paid for serves the next.
-            let late = async {
-                Timer::after(pool.connect_time_out).await;
-                Err(Fault::Ended)
-            };
+            let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
             match Link::open(node, &pool.descriptors).or(late).await {
                 Ok(link) => pool.give_back(node, link),
                 Err(fault) => {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -34,6 +34,7 @@
     let clients =
         Clients::new(Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool), descriptors, deployment);
     executor.spawn(directory.run(Rc::clone(&engine), work.list)).detach();
+    executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
     let timed = Rc::clone(&engine);
     executor.spawn(async move { timed.keep_time().await }).detach();
--- a/src/host.rs
+++ b/src/host.rs
@@ -128,6 +128,10 @@
 }
 
 impl Outcome {
+    /// Whether no node can have been sent it whole.
+    pub fn unwritten(self) -> bool {
+        matches!(self, Self::ConnectFailed | Self::NotSent)
+    }
     /// Whether this outcome proves that nothing ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::Miss)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,7 @@
 //! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
 //! its one method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`,
 //! `probe_ended`, `client_left`, `timer_fired`. It acts by calling the [`Host`] it was given (see `host.rs`).
+//! A host that had to wait for a connection asks `still_goes` before it writes.
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node follows the ratio of the shortest answer time to the present one,
@@ -28,22 +29,16 @@
     Duration::from_millis(ms)
 }
 
-/// How long a read may wait for the record to name a replica for it (the design's, for a fresh router).
-const HOLD: Duration = millis(50);
+const HOLD: Duration = millis(50); // how long a read may wait for the record to name a replica (design)
 /// The share of a group's reads that may go to its primary (the design's), and how many may be saved up.
 const PRIMARY_SHARE: f64 = 0.1;
 const PRIMARY_SAVED: f64 = 10.0;
-/// Periodic work is done so many times in the tightest bound, so that a probe is late by little.
-const SWEEPS_PER_BOUND: u32 = 8;
-/// Taken for the bound where no method sets one: probing then serves health alone.
-const NO_BOUND: Duration = millis(1000);
+const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
+const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
-/// The part of the result that probes may cost; each RPC earns probes for it by their price.
-const PROBE_SPEND: f64 = 0.01;
-/// What one answer weighs: some twenty make up a node's present answer time.
-const WEIGHT: f64 = 0.05;
-/// Answer times up to this multiple of the shortest leave a limit as it is: a little queueing is good.
-const TOLERANCE: f64 = 1.15;
+const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
+const WEIGHT: f64 = 0.05; // of one answer: some twenty make up a node's present answer time
+const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 10.0;
 const LEAST_LIMIT: f64 = 6.0;
@@ -56,25 +51,20 @@
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
 const SHORTEST_FORGETS: f64 = 1.02;
-/// A node is silent when chance alone would make it so once in about 8,000 (e^9) tries.
-const SILENT: f64 = 9.0;
-/// A call-out that takes this many times the present answer time counts as lost; chance does so once in 150.
-const LOST: f64 = 5.0;
-/// Errors after which an RPC itself is taken to be at fault.
-const ERRORS: usize = 2;
+const SILENT: f64 = 9.0; // a node is when chance alone would make it so once in about 8,000 (e^9) tries
+const LOST: f64 = 5.0; // present answer times after which a call-out counts as lost; by chance, 1 in 150
+const ERRORS: usize = 2; // after so many, an RPC itself is taken to be at fault
 const SQUEEZED: Duration = millis(5000); // how long idle connections are given back after a refusal
-/// An RPC is sent only if this multiple of the present answer time is left to it.
-const TIME_NEEDED: f64 = 2.0;
+const TIME_NEEDED: f64 = 2.0; // an RPC is sent only if so many present answer times are left to it
 const MOST_NEEDED: f64 = 0.75; // of its whole time
-/// So many more tries must have waited alike before another is taken for a repeat.
-const SURE: f64 = 20.0;
-/// What a node carries is counted over about so many seconds.
-const CARRIED_OVER: f64 = 2.0;
+/// An RPC that no node was sent is given up within this part of its time: half of it unused is paid for.
+const UNSENT: f64 = 0.45;
+const SURE: f64 = 20.0; // so many more tries must have waited alike before another is taken for a repeat
+const CARRIED_OVER: f64 = 2.0; // seconds over which about what a node carries is counted
 /// At least so many call-outs of all routers together to a cold node in the span over which it may be
 /// overloaded, and no more saved up than such a part of the span allows.
 const COLD_FLOOR: f64 = 4.0;
-/// Asking for the list again after a failure: this first, then twice as long each time.
-const ASK_AGAIN: Duration = millis(300);
+const ASK_AGAIN: Duration = millis(300); // after a failure of the list; then twice as long each time
 
 pub struct Router<H: Host> {
     host: H,
@@ -551,7 +541,9 @@
         let needed = Duration::from_secs_f64(self.methods[held.rpc.method.0].present * TIME_NEEDED);
         // Guards against a method that is never sent again, so that its answer time is never seen to fall.
         let end = self.ends(held);
-        end - needed.min(end.saturating_sub(held.arrived).mul_f64(MOST_NEEDED))
+        let last = end - needed.min(end.saturating_sub(held.arrived).mul_f64(MOST_NEEDED));
+        let sent = held.calls.iter().any(|call| !call.outcome.is_some_and(Outcome::unwritten));
+        if sent { last } else { last.min(held.arrived + (held.deadline - held.arrived).mul_f64(UNSENT)) }
     }
 
     fn line_up(&mut self, now: Duration, id: RpcId) {
@@ -777,9 +769,17 @@
         let repeat = (!held.is_out() || self.values.flag("allowed.second_copies"))
             && held.may_have_run().all(may_repeat);
         // Rule 3: nothing to a node once it is told to drain; the grace is for what is out already.
-        // Rule 4: the cold budget. Rule 5: proof of freshness, unless nodes check for themselves.
-        let fresh = self.values.text("replication.read_check") != "none" || self.is_current(now, held, node);
-        repeat && !member.stopped && fresh && (member.warmth >= 1.0 || member.credit >= 0.0)
+        // Rule 4: the cold budget. Rule 5: proof of freshness, also when a connection was waited for.
+        repeat
+            && !member.stopped
+            && self.still_goes(now, id, node)
+            && (member.warmth >= 1.0 || member.credit >= 0.0)
+    }
+
+    /// Asked again at the last moment if the connection had to be waited for, as a bound counts from the send.
+    pub fn still_goes(&self, now: Duration, id: RpcId, node: NodeId) -> bool {
+        let checked = self.values.text("replication.read_check") != "none"; // by the nodes themselves
+        self.held.get(&id).is_some_and(|held| checked || self.is_current(now, held, node))
     }
 
     fn send(&mut self, now: Duration, id: RpcId, node: NodeId) {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -333,3 +333,27 @@
     let write = stage.arrive(4, LONG, None);
     assert_eq!(stage.sent_to(write), [node(1)]);
 }
+
+#[test]
+fn an_rpc_that_no_node_was_sent_is_given_up_before_half_of_its_time() {
+    let mut stage = stage(2, 0, &[]);
+    let refused = stage.arrive(4, ms(400), None);
+    stage.end(refused, Outcome::ConnectFailed);
+    let missed = stage.arrive(4, ms(400), None);
+    assert!(stage.sent_to(missed).is_empty(), "the primary is shut until a probe is answered");
+    stage.pass(ms(170));
+    assert_eq!(stage.answer(missed), None);
+    stage.pass(ms(20));
+    assert_eq!([refused, missed].map(|id| stage.answer(id)), [Some("pushed back"); 2]);
+}
+
+#[test]
+fn a_read_that_has_waited_for_its_connection_goes_only_while_its_bound_holds() {
+    let mut stage = stage(3, 200, &[]);
+    let read = stage.arrive(0, LONG, None);
+    let (at, now) = (stage.sent_to(read)[0], stage.now());
+    assert!(stage.router.still_goes(now + ms(290), read, at));
+    assert!(!stage.router.still_goes(now + ms(310), read, at), "known to stand at now, so too old by then");
+    stage.router.client_left(read);
+    assert!(!stage.router.still_goes(now, read, at), "its RPC is over");
+}
