--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -245,7 +245,7 @@
 }
 
 /// The body of an answer once it is whole, and whether its connection may be used again.
-fn answer(bytes: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, Failure> {
+pub fn answer(bytes: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, Failure> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes)? {
--- a/router/src/pg.rs
+++ b/router/src/pg.rs
@@ -80,6 +80,7 @@
     Error {
         code: String,
         message: String,
+        detail: Option<String>,
         fatal: bool,
     },
     Ready,
@@ -208,14 +209,15 @@
 }
 
 fn error_fields(body: &mut Body) -> Result<Told, Broken> {
-    let (mut code, mut message, mut fatal) = (String::new(), String::new(), false);
+    let (mut code, mut message, mut detail, mut fatal) = (String::new(), String::new(), None, false);
     loop {
         match body.take(1)?[0] {
-            0 => return Ok(Told::Error { code, message, fatal }),
+            0 => return Ok(Told::Error { code, message, detail, fatal }),
             // The severity that is never translated, or else the one for the eye.
             b'V' | b'S' => fatal |= matches!(body.bytes()?, b"FATAL" | b"PANIC"),
             b'C' => code = body.text()?,
             b'M' => message = body.text()?,
+            b'D' => detail = Some(body.text()?),
             _ => _ = body.bytes()?,
         }
     }
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -249,7 +249,7 @@
                     outcome = Some(if row.is_some() { Outcome::Ok } else { Outcome::Error });
                     heard.answer = row.map(|(column, value)| Answer { column, value, tag });
                 }
-                Told::Error { code, message, fatal } => {
+                Told::Error { code, message, fatal, .. } => {
                     log::debug!("a node answered {code}: {message}");
                     outcome = Some(match code.as_str() {
                         "25006" | "72000" => Outcome::Miss,
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -39,7 +39,8 @@
     let timed = Rc::clone(&engine);
     executor.spawn(async move { timed.keep_time().await }).detach();
     let accepting = executor.spawn(Rc::clone(&clients).accept(Rc::clone(&listener)));
-    log::info!("{} serves at {}, {} nodes known", launch.name, launch.listen, known.len());
+    let address = listener.get_ref().local_addr()?;
+    log::info!("{} serves at {address}, {} nodes known", launch.name, known.len());
     drain::told_to_stop().await?;
     drain::drain(&clients, listener, accepting).await;
     drop(listener_slot);
--- /dev/null
+++ b/router/tests/messages.rs
@@ -0,0 +1,206 @@
+//! Messages, the comment and discovery's pages, by seeded random runs.
+
+use std::time::Duration;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
+use quillpoint_router::config::Launch;
+use quillpoint_router::directory::{self, Page, Reader};
+use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Told};
+use quillpoint_router::statement::Statement;
+
+/// The same runs every time.
+fn check(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(200, 54_32)).tests(400).quickcheck(property);
+}
+
+/// What a decoder makes of the whole, if it takes all of it and nothing of any part.
+fn whole<T>(bytes: &[u8], decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, pg::Broken>) -> Option<T> {
+    let early = (0..bytes.len()).any(|cut| decode(&bytes[..cut]).is_ok_and(|told| told.is_some()));
+    decode(bytes).unwrap().filter(|(_, taken)| !early && *taken == bytes.len()).map(|(told, _)| told)
+}
+
+fn without_zero(bytes: &[u8]) -> Vec<u8> {
+    bytes.iter().copied().filter(|byte| *byte != 0).collect()
+}
+
+#[test]
+fn a_query_decodes_to_what_was_encoded_cut_at_any_byte() {
+    check(
+        (|text| {
+            let text = without_zero(&text);
+            let mut out = Vec::new();
+            pg::put_query(&mut out, &text);
+            whole(&out, pg::asked) == Some(Asked::Query(text))
+        }) as fn(Vec<u8>) -> bool,
+    );
+}
+
+#[test]
+fn an_answer_decodes_to_what_was_encoded() {
+    check(
+        (|name, value, binary| {
+            let column = Column { name: without_zero(&name), type_oid: 17, type_size: u16::MAX, binary };
+            let answer = Answer { column, value, tag: b"SELECT 1".to_vec() };
+            let mut out = Vec::new();
+            pg::put_answer(&mut out, &answer);
+            let mut told = Vec::new();
+            while let Some((message, taken)) = pg::told(&out).unwrap() {
+                out.drain(..taken);
+                told.push(message);
+            }
+            let Answer { column, value, tag } = answer;
+            out.is_empty()
+                && told == [Told::Columns(vec![column]), Told::Row(vec![value]), Told::Complete(tag)]
+        }) as fn(Vec<u8>, Option<Vec<u8>>, bool) -> bool,
+    );
+}
+
+#[test]
+fn an_error_and_an_opening_decode_to_what_was_encoded() {
+    check(
+        (|message: String, detail: Option<String>, fatal| {
+            let clean = |text: String| text.replace('\0', "");
+            let (message, detail) = (clean(message), detail.map(clean));
+            let mut out = Vec::new();
+            pg::put_error(&mut out, fatal, "53300", &message, detail.as_deref());
+            let error = Told::Error { code: "53300".into(), message, detail, fatal };
+            let mut startup = Vec::new();
+            pg::put_startup(&mut startup, "portal", "crm");
+            whole(&out, pg::told) == Some(error) && whole(&startup, pg::opening) == Some(Opening::Startup)
+        }) as fn(String, Option<String>, bool) -> bool,
+    );
+}
+
+/// Bytes near enough to a message that decoders get past its head.
+#[derive(Clone, Debug)]
+struct Mangled(Vec<u8>);
+
+impl Arbitrary for Mangled {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kinds = b"QPSXRTDCIEZNKz";
+        let body = Vec::<u8>::arbitrary(g);
+        let off = *g.choose(&[0, 0, 0, 1, 4, 1000]).unwrap();
+        let length = (body.len() as u32 + 4).wrapping_sub(off);
+        let kind = *g.choose(kinds).unwrap();
+        Self([&[kind][..], &length.to_be_bytes(), &body].concat())
+    }
+}
+
+#[test]
+fn no_bytes_make_a_decoder_panic() {
+    check(
+        (|Mangled(bytes): Mangled, plain: Vec<u8>| {
+            for bytes in [&bytes[..], &bytes[1..], &plain] {
+                // Whatever is taken was there to be taken.
+                let fits = |taken: Option<usize>| taken.is_none_or(|taken| taken <= bytes.len());
+                assert!(fits(pg::asked(bytes).ok().flatten().map(|(_, taken)| taken)));
+                assert!(fits(pg::told(bytes).ok().flatten().map(|(_, taken)| taken)));
+                assert!(fits(pg::opening(bytes).ok().flatten().map(|(_, taken)| taken)));
+                let text = [b"/* id=1,", bytes, b"*/ SELECT"].concat();
+                _ = (Statement::parse(bytes.to_vec()), Statement::parse(text));
+                let answer = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", bytes].concat();
+                _ = (directory::answer(bytes, true), directory::answer(&answer, true));
+            }
+        }) as fn(Mangled, Vec<u8>),
+    );
+}
+
+#[test]
+fn a_statement_keeps_every_byte_but_those_of_its_wait() {
+    check(
+        (|other: String, tail: Vec<u8>, wait: u32, group: u32, to: u16, first: bool| {
+            if other.contains([',', '=', '*', '/']) {
+                return TestResult::discard();
+            }
+            let (start, end) = if first {
+                (String::new(), format!(",x={other}"))
+            } else {
+                (format!("x={other},"), String::new())
+            };
+            let text = |wait: u64| {
+                let words = format!("/* {start}id=9b1f, c=basket, d={wait} ,cluster={group}{end} */ SELECT");
+                [words.as_bytes(), &tail].concat()
+            };
+            let statement = Statement::parse(text(wait.into())).unwrap();
+            let read = (statement.method.as_str(), statement.wait, statement.group.0);
+            let right = read == ("basket", Duration::from_millis(wait.into()), group.into());
+            let to = u64::from(to.max(1));
+            TestResult::from_bool(right && statement.with_wait(Duration::from_millis(to)) == text(to))
+        }) as fn(String, Vec<u8>, u32, u32, u16, bool) -> TestResult,
+    );
+}
+
+#[test]
+fn two_keys_are_one_session_only_if_they_are_the_same() {
+    let session = |text: &str| {
+        Statement::parse(format!("/* id=1,c=a,d=1,cluster=0,after=1767225600123,r=1 */ {text}").into())
+            .unwrap()
+    };
+    let read = session("SELECT data FROM facts WHERE code = 'ab'");
+    let write = session("INSERT INTO facts (code, data) VALUES ('ab', '\\x00') RETURNING data");
+    let other = session("SELECT data FROM facts WHERE code = 'abc'");
+    assert!(read.session == write.session && read.session != other.session && read.session.is_some());
+    assert_eq!((read.after, read.retried), (Some(Duration::from_millis(1_767_225_600_123)), true));
+}
+
+#[test]
+fn a_page_is_read_cut_at_any_byte_and_chunked_anyhow() {
+    check(
+        (|sizes: Vec<u8>| {
+            let body = br#"{"rev":7,"all":true,"targets":[]}"#;
+            let (mut rest, mut chunks) = (&body[..], Vec::new());
+            for size in sizes.into_iter().map(|size| usize::from(size % 7) + 1).chain([body.len()]) {
+                let (piece, after) = rest.split_at(size.min(rest.len()));
+                if !piece.is_empty() {
+                    chunks.extend([format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat());
+                }
+                rest = after;
+            }
+            let chunked =
+                [b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n", &chunks[..], b"0\r\n\r\n"]
+                    .concat();
+            let sized =
+                [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(), body]
+                    .concat();
+            [chunked, sized].iter().all(|bytes| {
+                let cut =
+                    (0..bytes.len()).all(|cut| directory::answer(&bytes[..cut], false).unwrap().is_none());
+                cut && directory::answer(bytes, false).unwrap() == Some((body.to_vec(), true))
+            })
+        }) as fn(Vec<u8>) -> bool,
+    );
+    assert!(directory::answer(b"HTTP/1.1 503 Busy\r\n\r\n", false).is_err());
+}
+
+const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"5",
+"limits":{"sockets":64},"settings":{"Allowed":{"ConnIdleMs":30000.0,"ConnectTimeoutMs":250.0},
+"Classes":[{"Name":"a","GiveUpMs":600.0,"GoalTimeMs":150.0}],"FailureDomains":["x","y"],"Skus":["m","n"]}}"#;
+
+#[test]
+fn a_machine_that_moves_is_its_old_node_gone_and_a_new_one_come() {
+    use quillpoint::host::Condition::{Draining, Gone, Healthy};
+    let tree = serde_json::from_str(SETTINGS).unwrap();
+    let mut reader = Reader::new(&Launch::from_tree(&tree, |_| None).unwrap().deployment);
+    let mut lines = |all: bool, entries: &[(&str, u16, &str)]| {
+        let entry = |(uid, port, state): &(&str, u16, &str)| {
+            serde_json::json!({"uid": uid, "endpoint": format!("127.0.0.1:{port}"), "az": "y", "model": "n",
+                "pod_group": 3, "state": state, "boot_ms": 1500, "role": "replica"})
+        };
+        let targets: Vec<_> = entries.iter().map(entry).collect();
+        let page = Page::of(&serde_json::json!({"rev": 1, "all": all, "targets": targets})).unwrap();
+        let lines = reader.lines(&page);
+        lines
+            .iter()
+            .map(|line| (line.node.0.port(), line.condition, line.zone.0, line.kind))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        lines(true, &[("a", 1, "in_service"), ("b", 2, "terminating")]),
+        [(1, Healthy, 1, 1), (2, Draining, 1, 1)]
+    );
+    assert_eq!(lines(false, &[("a", 3, "in_service")]), [(1, Gone, 1, 1), (3, Healthy, 1, 1)]);
+    assert_eq!(
+        lines(true, &[("a", 3, "terminated"), ("b", 4, "in_service")]),
+        [(3, Gone, 1, 1), (2, Gone, 1, 1), (4, Healthy, 1, 1)]
+    );
+}
--- /dev/null
+++ b/router/tests/sockets.rs
@@ -0,0 +1,305 @@
+//! A router process among stand-ins: what comes out of it, in which order, and how often.
+
+mod standin;
+
+use quillpoint_router::pg::{self, Told};
+use standin::{Client, Discovery, Does, Greets, Node, Reply, Running, VALUE};
+use standin::{command, configuration, count, file, statement, targets};
+
+fn ok() -> Reply {
+    Reply::Value(VALUE.to_vec())
+}
+
+fn error(code: &str) -> Reply {
+    Reply::Error(code.to_string(), None)
+}
+
+/// A primary and one replica.
+fn pair() -> (Node, Node, Running, Discovery) {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let (router, discovery) = Running::among(&[(&primary, "primary"), (&replica, "replica")]);
+    (primary, replica, router, discovery)
+}
+
+#[test]
+fn a_value_and_a_statement_pass_unchanged_but_for_the_wait() {
+    let (primary, replica, router, _) = pair();
+    let mut client = router.client();
+    assert_eq!([client.rpc("look", 9000), client.rpc("enter", 9000)], [ok(), ok()]);
+    for (node, class) in [(replica, "look"), (primary, "enter")] {
+        let (sent, queries) = (statement(class, 9000), node.queries());
+        let (before, after) = sent.split_once("9000").unwrap();
+        let wait = queries[0].strip_prefix(before).and_then(|rest| rest.strip_suffix(after)).unwrap();
+        assert!(wait.parse::<u64>().unwrap() <= 9000, "{wait}");
+        assert_eq!(queries.len(), 1);
+    }
+}
+
+#[test]
+fn a_miss_sends_a_write_on_to_the_primary() {
+    let (listed, actual) = (Node::start(false), Node::start(true));
+    let (router, _discovery) = Running::among(&[(&listed, "primary"), (&actual, "replica")]);
+    assert_eq!(router.client().rpc("enter", 9000), ok());
+    assert_eq!((listed.queries().len(), actual.queries().len()), (1, 1));
+}
+
+#[test]
+fn a_write_is_sent_again_only_if_its_last_byte_was_not_written() {
+    let (primary, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    primary.greets(Greets::Closes);
+    client.ask(&statement("enter", 9000));
+    while count(&primary.connections) == 0 {
+        std::thread::yield_now();
+    }
+    primary.greets(Greets::Welcomes);
+    assert_eq!((client.reply(), primary.queries().len()), (ok(), 1));
+    // While the primary was out of reach, the replica may have been tried too: a miss, which runs nothing.
+    let misses = replica.queries().len();
+    primary.set(Does::Breaks);
+    assert_eq!(client.rpc("enter", 9000), error("08006"));
+    assert_eq!((primary.queries().len(), replica.queries().len()), (2, misses));
+}
+
+#[test]
+fn a_node_that_never_answers_keeps_no_client_waiting() {
+    let (primary, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    primary.set(Does::Waits);
+    assert_eq!(client.rpc("enter", 300), error("57014"), "it may have run");
+    replica.set(Does::Waits);
+    assert!(
+        matches!(client.rpc("look", 300), Reply::Error(code, _) if code == "53300"),
+        "a repeat is harmless"
+    );
+    assert_eq!((primary.queries().len(), replica.queries().len()), (1, 1));
+}
+
+#[test]
+fn a_node_that_turns_an_rpc_away_does_not_word_the_answer() {
+    let (primary, _, router, _discovery) = pair();
+    primary.set(Does::Errs("53300"));
+    let Reply::Error(code, _) = router.client().rpc("enter", 300) else { panic!("there is no value") };
+    assert_eq!(code, "53300", "nothing ran, so it is pushed back");
+    primary.set(Does::Errs("XX000"));
+    assert_eq!(router.client().rpc("enter", 9000), error("58000"), "it may have run");
+}
+
+#[test]
+fn a_push_back_says_when_to_come_back() {
+    let (_, _, router, _discovery) = pair();
+    let mut client = router.client();
+    client.ask(&statement("look", 9000).replace("cluster=0", "cluster=9"));
+    assert_eq!(client.reply(), Reply::Error("53300".into(), Some("50".into())));
+}
+
+#[test]
+fn half_a_value_is_never_passed_on() {
+    let (_, replica, router, _discovery) = pair();
+    replica.set(Does::Halves);
+    assert!(matches!(router.client().rpc("look", 300), Reply::Error(..)));
+}
+
+#[test]
+fn a_call_out_outlives_the_client_that_left_and_its_connection_serves_on() {
+    let (_, replica, router, _discovery) = pair();
+    replica.set(Does::Waits);
+    let mut leaves = router.client();
+    leaves.ask(&statement("look", 9000));
+    replica.await_queries(1);
+    drop(leaves);
+    let mut stays = router.client();
+    stays.ask(&statement("look", 9000));
+    replica.await_queries(2);
+    replica.set(Does::Answers);
+    assert_eq!(stays.reply(), ok());
+    assert_eq!(stays.rpc("look", 9000), ok());
+    assert_eq!((count(&replica.connections), replica.queries().len()), (2, 3));
+}
+
+#[test]
+fn a_connection_that_came_up_too_late_is_kept_and_nothing_is_written_to_it() {
+    let (_, replica, router, _discovery) = pair();
+    replica.greets(Greets::Hangs);
+    let mut leaves = router.client();
+    leaves.ask(&statement("look", 9000));
+    while count(&replica.connections) == 0 {
+        std::thread::yield_now();
+    }
+    drop(leaves);
+    let mut stays = router.client();
+    // By the time these are answered, the router has seen the other client leave.
+    for _ in 0..50 {
+        stays.ask("");
+        assert_eq!(stays.reply(), Reply::Empty);
+    }
+    replica.greets(Greets::Welcomes);
+    assert_eq!(stays.rpc("look", 9000), ok());
+    assert_eq!(replica.queries().len(), 1, "the RPC that was over was not written");
+}
+
+#[test]
+fn a_connection_that_its_node_closed_is_not_used_again() {
+    let (_, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    replica.set(Does::Closes);
+    assert_eq!(client.rpc("look", 9000), ok());
+    while count(&replica.open) > 0 {
+        std::thread::yield_now();
+    }
+    replica.set(Does::Answers);
+    assert_eq!(client.rpc("look", 9000), ok());
+    assert_eq!((count(&replica.connections), replica.queries().len()), (2, 2));
+}
+
+#[test]
+fn a_change_of_the_list_takes_effect_and_an_entry_that_cannot_be_read_is_skipped() {
+    let nodes = [true, false, false].map(Node::start);
+    let [primary, drains, stays] = &nodes;
+    let (router, discovery) =
+        Running::among(&[(primary, "primary"), (drains, "replica"), (stays, "replica")]);
+    discovery.await_calls(2);
+    let list = targets(&[
+        (primary, "primary", "in_service"),
+        (drains, "replica", "terminating"),
+        (stays, "replica", "in_service"),
+    ]);
+    discovery.change(list.replacen('[', r#"[{"uid":"s-9","endpoint":"nowhere","state":"in_service"},"#, 1));
+    discovery.await_calls(3);
+    let mut client = router.client();
+    assert!((0..20).all(|_| client.rpc("look", 9000) == ok()));
+    assert_eq!((drains.queries().len(), stays.queries().len()), (0, 20));
+}
+
+#[test]
+fn the_longest_idle_connection_goes_when_descriptors_are_short() {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let router = Running::start(&configuration(&discovery, &list, 32));
+    let mut clients: Vec<Client> = Vec::new();
+    for _ in 0..40 {
+        let mut client = router.client();
+        assert_eq!(client.rpc("look", 9000), ok());
+        clients.push(client);
+    }
+    assert_eq!(clients[0].told(), None, "closed for the ones that came later");
+    assert_eq!(clients[39].rpc("look", 9000), ok());
+    assert_eq!(replica.queries().len(), 41);
+}
+
+#[test]
+fn a_router_that_is_told_to_stop_answers_all_it_holds_first() {
+    let (_, replica, mut router, _discovery) = pair();
+    let (mut busy, mut idle) = (router.client(), router.client());
+    assert_eq!(idle.rpc("look", 9000), ok());
+    replica.set(Does::Waits);
+    busy.ask(&statement("look", 9000));
+    replica.await_queries(2);
+    router.terminate();
+    router.terminate();
+    assert_eq!(idle.told(), None, "an idle connection is closed");
+    replica.set(Does::Answers);
+    assert_eq!(busy.reply(), ok());
+    assert_eq!(busy.told(), None);
+    assert!(router.ended().success());
+}
+
+#[test]
+fn what_cannot_be_read_is_answered_and_harms_nobody() {
+    let (_, _, router, _discovery) = pair();
+    let mut client = router.client();
+    let good = statement("look", 9000);
+    for (text, code) in [
+        ("SELECT 1".to_string(), "42601"),
+        (good.replace("id=", "ed="), "42601"),
+        (good.replace("c=look", "c=loop"), "22023"),
+        (good.replace("d=9000", "d=soon"), "22023"),
+        (good.replace("cluster=0", "cluster=-1"), "22023"),
+        (good.replace("d=9000,", ""), "42601"),
+    ] {
+        client.ask(&text);
+        assert_eq!(client.reply(), error(code), "{text}");
+    }
+    // Parse, then Sync: the extended protocol is passed over up to there.
+    client.send(b"P\0\0\0\x08\0\0\0\0S\0\0\0\x04");
+    assert_eq!(client.reply(), error("0A000"));
+    client.ask("  ; ");
+    assert_eq!(client.reply(), Reply::Empty);
+    assert_eq!(client.rpc("look", 9000), ok(), "the connection lives on");
+    for (bytes, code) in [
+        (&b"Q\x7f\xff\xff\xff"[..], "54000"),
+        (b"Q\0\0\0\x01", "08P01"),
+        (b"Q\0\0\0\x06ab", "08P01"),
+        (b"z\0\0\0\x04", "08P01"),
+    ] {
+        let mut client = router.client();
+        client.send(bytes);
+        assert_eq!(client.reply(), error(code), "{bytes:?}");
+        assert_eq!(client.told(), None, "and that was the end");
+    }
+}
+
+#[test]
+fn a_session_opens_as_clients_open_it() {
+    use std::io::{Read, Write};
+    let (_, _, router, _discovery) = pair();
+    let mut raw = std::net::TcpStream::connect(router.address).unwrap();
+    let mut byte = [0];
+    for wish in [80_877_103u32, 80_877_104] {
+        raw.write_all(&[&8u32.to_be_bytes()[..], &wish.to_be_bytes()].concat()).unwrap();
+        raw.read_exact(&mut byte).unwrap();
+        assert_eq!(byte, *b"N");
+    }
+    // The startup and the first query in one piece.
+    let mut out = Vec::new();
+    pg::put_startup(&mut out, "portal", "crm");
+    pg::put_query(&mut out, b"");
+    raw.write_all(&out).unwrap();
+    let mut bytes = Vec::new();
+    let mut messages = Vec::new();
+    while messages.iter().filter(|told| **told == Told::Ready).count() < 2 {
+        raw.read_exact(&mut byte).unwrap();
+        bytes.extend(byte);
+        if let Some((told, taken)) = pg::told(&bytes).unwrap() {
+            bytes.drain(..taken);
+            messages.push(told);
+        }
+    }
+    assert!(messages.contains(&Told::EmptyQuery) && messages.contains(&Told::Authentication(0)));
+    let mut cancels = std::net::TcpStream::connect(router.address).unwrap();
+    cancels.write_all(b"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\0\0\0\0\0").unwrap();
+    assert_eq!(cancels.read(&mut byte).unwrap(), 0, "closed without a word");
+}
+
+#[test]
+fn the_command_line_names_the_faulty_key() {
+    let run = |words: &[&str], variables: &[(&str, &str)]| {
+        let output = command(words, variables).output().unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8(text).unwrap())
+    };
+    let discovery = Discovery::start("[]".into());
+    let good = configuration(&discovery, "[]", 200);
+    let check = |text: &str, variables: &[(&str, &str)]| {
+        run(&["check", "-c", file(text).to_str().unwrap()], variables)
+    };
+    assert_eq!(check(&good, &[]).0, Some(0));
+    for (from, to, named) in [
+        (r#""seed":"92094eb940cf389a""#, r#""seed":"x""#, "seed:"),
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#, "listen:"),
+        (r#""sockets":200"#, r#""sockets":3"#, "limits.sockets:"),
+        (r#""GiveUpMs":9000.0,"#, "", "methods.0.deadline"),
+        (r#""rev":0"#, r#""rev":"x""#, "known:"),
+        ("{", "", "JSON"),
+    ] {
+        let (status, text) = check(&good.replacen(from, to, 1), &[]);
+        assert!(status == Some(2) && text.contains(named), "{status:?}: {text}");
+    }
+    let (status, text) = check(&good, &[("GW_DISCOVERY", "nowhere")]);
+    assert!(status == Some(2) && text.contains("GW_DISCOVERY:"), "variables win: {text}");
+    assert!(run(&["serve"], &[]).1.contains("GW_CONFIG"));
+    assert_eq!(run(&["dance"], &[]).0, Some(2));
+    assert!(run(&["version"], &[]).1.contains(env!("CARGO_PKG_VERSION")));
+    assert!(run(&["--help"], &[]).1.contains("check"));
+}
--- /dev/null
+++ b/router/tests/standin/mod.rs
@@ -0,0 +1,441 @@
+//! Stand-ins for clients, nodes and discovery, after their public protocols, and a router process among them.
+//! They do as they are told and keep the books; nothing in them decides.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Told};
+
+/// Far longer than anything here takes: what is awaited for so long never comes.
+const NEVER: Duration = Duration::from_secs(30);
+
+pub fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
+/// What a node does with the next RPCs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Does {
+    Answers,
+    /// Answers with an error of this code.
+    Errs(&'static str),
+    /// Ends the connection once the query is whole.
+    Breaks,
+    /// Says nothing until it is told to do something else.
+    Waits,
+    /// Answers, and closes the connection.
+    Closes,
+    /// Answers half of a value, and closes the connection.
+    Halves,
+}
+
+/// What a node does with new connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Greets {
+    Welcomes,
+    Hangs,
+    Closes,
+}
+
+struct NodeState {
+    does: Does,
+    greets: Greets,
+    primary: bool,
+    queries: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct Node {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<NodeState>, Condvar)>,
+    pub connections: Arc<AtomicUsize>,
+    pub open: Arc<AtomicUsize>,
+}
+
+/// Reads up to the next whole message; `None` at the end.
+fn next<T>(
+    stream: &mut TcpStream,
+    unread: &mut Vec<u8>,
+    decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, pg::Broken>,
+) -> Option<T> {
+    loop {
+        if let Some((message, taken)) = decode(unread).unwrap() {
+            unread.drain(..taken);
+            return Some(message);
+        }
+        let mut piece = [0; 4096];
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => unread.extend(&piece[..count]),
+        }
+    }
+}
+
+fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+    out.push(b'S');
+    out.extend((name.len() as u32 + value.len() as u32 + 6).to_be_bytes());
+    out.extend([name.as_bytes(), &[0], value.as_bytes(), &[0]].concat());
+}
+
+impl Node {
+    pub fn start(primary: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let state = NodeState { does: Does::Answers, greets: Greets::Welcomes, primary, queries: Vec::new() };
+        let node = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            connections: Arc::default(),
+            open: Arc::default(),
+        };
+        let served = node.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let node = served.clone();
+                node.connections.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    node.open.fetch_add(1, Ordering::SeqCst);
+                    node.serve(stream.unwrap());
+                    node.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        node
+    }
+
+    pub fn set(&self, does: Does) {
+        self.state.0.lock().unwrap().does = does;
+        self.state.1.notify_all();
+    }
+
+    pub fn greets(&self, greets: Greets) {
+        self.state.0.lock().unwrap().greets = greets;
+        self.state.1.notify_all();
+    }
+
+    /// The RPCs that came whole.
+    pub fn queries(&self) -> Vec<String> {
+        self.state.0.lock().unwrap().queries.clone()
+    }
+
+    pub fn await_queries(&self, count: usize) {
+        let queries = self.state.0.lock().unwrap();
+        let (_guard, wait) =
+            self.state.1.wait_timeout_while(queries, NEVER, |state| state.queries.len() < count).unwrap();
+        assert!(!wait.timed_out(), "{count} queries never came");
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let hangs = |state: &mut NodeState| state.greets == Greets::Hangs;
+        let state = self.state.0.lock().unwrap();
+        let (state, _) = self.state.1.wait_timeout_while(state, NEVER, hangs).unwrap();
+        if state.greets == Greets::Closes {
+            return;
+        }
+        drop(state);
+        let mut unread = Vec::new();
+        if next(&mut stream, &mut unread, pg::opening) != Some(Opening::Startup) {
+            return;
+        }
+        let mut out = Vec::new();
+        pg::put_welcome(&mut out);
+        _ = stream.write_all(&out);
+        while let Some(Asked::Query(text)) = next(&mut stream, &mut unread, pg::asked) {
+            let text = String::from_utf8(text).unwrap();
+            let mut state = self.state.0.lock().unwrap();
+            let now = unix_ms();
+            let load = format!("x0={:.3},x1={}", now as f64 / 1000.0, u8::from(state.primary));
+            let mut out = Vec::new();
+            if text == "SHOW load" {
+                pg::put_answer(&mut out, &answer(load.as_bytes()));
+                pg::put_ready(&mut out);
+                drop(state);
+                _ = stream.write_all(&out);
+                continue;
+            }
+            // As every replica does with a write.
+            let misplaced = text.contains("INSERT") && !state.primary;
+            state.queries.push(text);
+            self.state.1.notify_all();
+            let (state, _) =
+                self.state.1.wait_timeout_while(state, NEVER, |state| state.does == Does::Waits).unwrap();
+            let role = if state.primary { "primary" } else { "replica" };
+            let does = state.does;
+            drop(state);
+            match does {
+                _ if misplaced => pg::put_error(&mut out, false, "25006", "this is a replica", None),
+                Does::Breaks => return,
+                Does::Errs(code) => pg::put_error(&mut out, false, code, "as told", None),
+                _ => pg::put_answer(&mut out, &answer(VALUE)),
+            }
+            if does == Does::Halves {
+                _ = stream.write_all(&out[..out.len() / 2]);
+                return;
+            }
+            parameter(&mut out, "role", role);
+            parameter(&mut out, "applied_ms", &now.to_string());
+            parameter(&mut out, "load", &load);
+            pg::put_ready(&mut out);
+            if stream.write_all(&out).is_err() || does == Does::Closes {
+                return;
+            }
+        }
+    }
+}
+
+/// Bytes that no text could hold.
+pub const VALUE: &[u8] = &[0, 255, 10, 39, 0, 128];
+
+pub fn answer(value: &[u8]) -> Answer {
+    let column = Column { name: b"data".to_vec(), type_oid: 17, type_size: u16::MAX, binary: true };
+    Answer { column, value: Some(value.to_vec()), tag: b"SELECT 1".to_vec() }
+}
+
+/// Discovery, with a list that a test changes.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<(Mutex<(u64, String)>, Condvar)>,
+    calls: Arc<(Mutex<usize>, Condvar)>,
+}
+
+/// The list's entries: a node, its role and its state.
+pub fn targets(nodes: &[(&Node, &str, &str)]) -> String {
+    let entry = |(place, (node, role, state)): (usize, &(&Node, &str, &str))| {
+        let endpoint = node.address;
+        format!(
+            r#"{{"uid":"s-{place}","endpoint":"{endpoint}","az":"a","model":"m","pod_group":0,"state":"{state}",
+            "capacity_hint":1.0,"boot_ms":0,"role":"{role}"}}"#
+        )
+    };
+    format!("[{}]", nodes.iter().enumerate().map(entry).collect::<Vec<_>>().join(","))
+}
+
+impl Discovery {
+    pub fn start(targets: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let list = Arc::new((Mutex::new((1, targets)), Condvar::new()));
+        let discovery = Self { address, list, calls: Arc::default() };
+        let served = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let discovery = served.clone();
+                thread::spawn(move || discovery.serve(stream.unwrap()));
+            }
+        });
+        discovery
+    }
+
+    pub fn change(&self, targets: String) {
+        let mut list = self.list.0.lock().unwrap();
+        *list = (list.0 + 1, targets);
+        self.list.1.notify_all();
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+        while let Some(Ok(call)) = lines.next() {
+            while lines.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {}
+            let number = |name: &str| {
+                let digits = call.split(name).nth(1)?.split(['&', ' ']).next()?;
+                digits.parse::<u64>().ok()
+            };
+            *self.calls.0.lock().unwrap() += 1;
+            self.calls.1.notify_all();
+            let (from, hold) = (number("from="), number("hold_ms="));
+            let list = self.list.0.lock().unwrap();
+            let hold = Duration::from_millis(hold.unwrap_or(0));
+            let (list, _) = self.list.1.wait_timeout_while(list, hold, |list| Some(list.0) == from).unwrap();
+            let (rev, all) = (list.0, Some(list.0) != from);
+            let targets = if all { list.1.clone() } else { "[]".to_string() };
+            drop(list);
+            let body = format!(r#"{{"rev":{rev},"all":{all},"targets":{targets}}}"#);
+            // In two chunks, split where it hurts.
+            let (first, second) = body.split_at(body.len() / 3);
+            let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let whole = format!("{head}{}{}0\r\n\r\n", chunk(first), chunk(second));
+            if stream.write_all(whole.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// A call after an answer shows that the answer has been read.
+    pub fn await_calls(&self, count: usize) {
+        let calls = self.calls.0.lock().unwrap();
+        let (_guard, wait) = self.calls.1.wait_timeout_while(calls, NEVER, |calls| *calls < count).unwrap();
+        assert!(!wait.timed_out(), "call {count} never came");
+    }
+}
+
+/// A router as a process of its own.
+pub struct Running {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+pub fn configuration(discovery: &Discovery, targets: &str, sockets: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"Name":"{name}","GiveUpMs":9000.0,"GoalTimeMs":9000.0,"LateValue":0.5,"Value":1.0,
+            "Semantics":"{effect}","Group":"all","WindowMs":5000.0}}"#
+        )
+    };
+    let classes = [class("look", "free"), class("enter", "single_shot"), class("recent", "free")].join(",");
+    let discovery = discovery.address;
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"92094eb940cf389a",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{{"rev":0,"all":true,"targets":{targets}}},
+        "settings":{{"Allowed":{{"ConnIdleMs":30000.0,"ConnectTimeoutMs":5000.0,"MaxAttempts":6,"Probes":true,
+            "MaxRetryAfterMs":1000.0,"MayDuplicate":true,"MostHeld":20000}},"Balancers":1,"Classes":[{classes}],
+            "Discovery":"subscribe","Extra":{{"Checks":"none","ClassBoundMs":[0,0,300],
+            "NeedsByClass":["loose","update","recent"],"WriteMarks":"router"}},"FailureDomains":["a"],
+            "Feedback":{{"Fields":["x0","x1"],"Source":"answers"}},"Invariants":{{"AskEveryMs":20000.0,
+            "ColdFrom":0.3,"ColdMs":1000.0,"DrainGraceMs":1000.0,"FallMultiple":3.0,"OverloadForMs":1000.0}},
+            "Skus":["m"],"StepMs":2.0,"Tariffs":{{"Probe":0.001}}}}}}"#
+    )
+}
+
+pub fn file(text: &str) -> std::path::PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let name = format!("config-{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+pub fn command(words: &[&str], variables: &[(&str, &str)]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quillpoint"));
+    command.args(words).env_clear().envs(variables.iter().copied());
+    command
+}
+
+impl Running {
+    pub fn start(configuration: &str) -> Self {
+        let path = file(configuration);
+        let mut command = command(&["serve", "--config", path.to_str().unwrap()], &[]);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let address = loop {
+            let line = lines.next().expect("a line says where it serves").unwrap();
+            if let Some((_, rest)) = line.split_once("serves at ") {
+                break rest.split(',').next().unwrap().parse().unwrap();
+            }
+        };
+        // Read on, so that the router can always write its log.
+        thread::spawn(move || lines.for_each(drop));
+        Self { child, address }
+    }
+
+    /// Nodes as `(node, role)`, a list that names them, and a router that knows it.
+    pub fn among(nodes: &[(&Node, &str)]) -> (Self, Discovery) {
+        let all: Vec<_> = nodes.iter().map(|(node, role)| (*node, *role, "in_service")).collect();
+        let discovery = Discovery::start(targets(&all));
+        (Self::start(&configuration(&discovery, &targets(&all), 200)), discovery)
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.address)
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+/// How a query was answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Value(Vec<u8>),
+    /// The code, and the field D.
+    Error(String, Option<String>),
+    Empty,
+    /// The connection ended without an answer.
+    Gone,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(NEVER)).unwrap();
+        let mut client = Self { stream, unread: Vec::new() };
+        let mut out = Vec::new();
+        pg::put_startup(&mut out, "portal", "crm");
+        client.send(&out);
+        client
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The next message of a router.
+    pub fn told(&mut self) -> Option<Told> {
+        next(&mut self.stream, &mut self.unread, pg::told)
+    }
+
+    pub fn ask(&mut self, text: &str) {
+        let mut out = Vec::new();
+        pg::put_query(&mut out, text.as_bytes());
+        self.send(&out);
+    }
+
+    /// Up to the ReadyForQuery that follows an answer.
+    pub fn reply(&mut self) -> Reply {
+        let mut reply = Reply::Gone;
+        loop {
+            match self.told() {
+                None => return reply,
+                Some(Told::Row(values)) => reply = Reply::Value(values[0].clone().unwrap()),
+                Some(Told::EmptyQuery) => reply = Reply::Empty,
+                Some(Told::Error { code, detail, .. }) => reply = Reply::Error(code, detail),
+                Some(Told::Ready) if reply != Reply::Gone => return reply,
+                Some(_) => {}
+            }
+        }
+    }
+
+    pub fn rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
+        self.ask(&statement(class, wait_ms));
+        self.reply()
+    }
+}
+
+pub fn statement(class: &str, wait_ms: u64) -> String {
+    let verb = if class == "enter" {
+        "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f03') RETURNING data"
+    } else {
+        "SELECT data FROM facts WHERE code = '7f3a'"
+    };
+    format!("/* id=9b1f03aa5c7e2d41,c={class},d={wait_ms},cluster=0,k=ab12 */ {verb}")
+}
+
+pub fn count(counts: &AtomicUsize) -> usize {
+    counts.load(Ordering::SeqCst)
+}
