--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -400,6 +400,12 @@
         next(&mut self.stream, &mut self.unread, pg::told)
     }
 
+    /// Leaves, and waits until the router has taken notice.
+    pub fn leave(mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+        while self.told().is_some() {}
+    }
+
     pub fn ask(&mut self, text: &str) {
         let mut out = Vec::new();
         pg::put_query(&mut out, text.as_bytes());
