Clients get half of the sockets, and those beyond are turned away instead of left unread

Seen: the lost RPCs had never reached the router's own code; while the primary was dead, writes held all the sockets that clients might have, and accepting waited, but the kernel had accepted their connections. Ruled out: CPU (0.07 s in a second), memory (1 MB), the module (0 call-outs). At fault: take_for_client, which made the listener wait.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -15,7 +15,7 @@
 use quillpoint::host::Outcome;
 
 use crate::config::Deployment;
-use crate::descriptors::{Descriptors, Slot};
+use crate::descriptors::{Descriptors, Side, Slot};
 use crate::engine::{Engine, Order};
 use crate::pg::{self, Asked, Broken, Opening};
 use crate::pool::Pool;
@@ -111,8 +111,8 @@
         self.open.borrow_mut().insert(number, close.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            let mut session =
-                Session { clients: &clients, stream, unread: Vec::new(), close, closed, discards: false };
+            let (unread, side, discards) = (Vec::new(), slot.side, false);
+            let mut session = Session { clients: &clients, stream, unread, close, closed, side, discards };
             let end = session.run().await;
             if let Err(End::Broken(broken)) = &end {
                 let mut out = Vec::new();
@@ -148,6 +148,7 @@
     unread: Vec<u8>,
     close: Sender<()>,
     closed: async_channel::Receiver<()>,
+    side: Side,
     /// After a message of the extended protocol, all is passed over up to Sync.
     discards: bool,
 }
@@ -170,6 +171,10 @@
                     self.discards = true;
                     pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
                 }
+                Asked::Query(_) if self.side == Side::TurnedAway => {
+                    pg::put_error(&mut out, true, "53300", "this router has no socket left for it", None);
+                    return self.send(&out).await;
+                }
                 Asked::Query(text) => {
                     self.query(text, &mut out).await?;
                     pg::put_ready(&mut out);
@@ -225,7 +230,7 @@
             // While it drains, a router still takes what has arrived by now.
             let draining = self.clients.draining.get();
             let (close, closed) = (self.close.clone(), self.closed.clone());
-            let _parked = self.clients.descriptors.park(move || _ = close.try_send(()));
+            let _parked = self.clients.descriptors.park(self.side, move || _ = close.try_send(()));
             let closing = async {
                 if !draining {
                     _ = closed.recv().await;
--- a/router/src/descriptors.rs
+++ b/router/src/descriptors.rs
@@ -6,78 +6,135 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_io::Timer;
 use event_listener::Event;
+use futures_lite::FutureExt;
+
+/// A connection that was asked to close may just have been put to use again: it is looked again after this.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What a socket is held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Client,
+    /// A client that there is no room for: it is told so and closed.
+    TurnedAway,
+    Inner,
+}
 
 type Close = Box<dyn FnOnce()>;
 
 pub struct Descriptors {
     limit: usize,
-    used: Cell<usize>,
+    used: [Cell<usize>; 3],
     /// Idle connections by the order in which they became idle.
-    parked: RefCell<BTreeMap<u64, Close>>,
+    parked: RefCell<BTreeMap<u64, (Side, Close)>>,
     next: Cell<u64>,
     freed: Event,
 }
 
 /// The right to hold one socket.
-pub struct Slot(Rc<Descriptors>);
+pub struct Slot {
+    descriptors: Rc<Descriptors>,
+    pub side: Side,
+}
 
 /// A connection's place among the idle ones, until it is dropped.
 pub struct Parked(Rc<Descriptors>, u64);
 
 impl Descriptors {
     pub fn new(limit: usize) -> Rc<Self> {
-        let (used, next) = (Cell::new(0), Cell::new(0));
+        let (used, next) = (Default::default(), Cell::new(0));
         Rc::new(Self { limit, used, parked: RefCell::default(), next, freed: Event::new() })
     }
 
-    pub fn used(&self) -> usize {
-        self.used.get()
+    /// Half is for clients, since each may need a connection to a node too. Those beyond are not left waiting
+    /// unread, where their RPCs would be lost, but turned away.
+    fn share(&self, side: Side) -> usize {
+        match side {
+            Side::Client => self.limit / 2,
+            Side::TurnedAway => self.limit / 8,
+            Side::Inner => self.limit,
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.used.iter().map(Cell::get).sum::<usize>() >= self.limit
     }
 
-    /// Waits until a socket may be opened.
-    pub async fn take(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit).await
+    fn try_take(self: &Rc<Self>, side: Side) -> Option<Slot> {
+        let used = &self.used[side as usize];
+        if self.is_full() || used.get() >= self.share(side) {
+            return None;
+        }
+        used.set(used.get() + 1);
+        Some(Slot { descriptors: Rc::clone(self), side })
     }
 
-    /// The same for a client's connection. Clients leave a quarter to nodes and discovery, without which they
-    /// could not be answered.
-    pub async fn take_for_client(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit - self.limit / 4).await
+    /// Closes the longest idle connection that would make room, if there is one.
+    fn evict(&self, side: Side) -> bool {
+        let full = self.is_full();
+        let mut parked = self.parked.borrow_mut();
+        let place = parked.iter().find(|(_, (whose, _))| full || *whose == side).map(|(place, _)| *place);
+        let oldest = place.and_then(|place| parked.remove(&place));
+        drop(parked);
+        oldest.map(|(_, close)| close()).is_some()
     }
 
-    async fn take_below(self: &Rc<Self>, limit: usize) -> Slot {
+    /// Waits until a socket may be opened to a node, or to discovery.
+    pub async fn take(self: &Rc<Self>) -> Slot {
         loop {
             let freed = self.freed.listen();
-            if self.used.get() < limit {
-                self.used.set(self.used.get() + 1);
-                return Slot(Rc::clone(self));
+            if let Some(slot) = self.try_take(Side::Inner) {
+                return slot;
+            }
+            match self.evict(Side::Inner) {
+                true => look_again(freed).await,
+                false => freed.await,
             }
-            // Closing may free a slot at once, or when its owner next runs.
-            let oldest = self.parked.borrow_mut().pop_first();
-            match oldest {
-                Some((_, close)) => close(),
-                None => log::debug!("{limit} sockets are open and none is idle"),
+        }
+    }
+
+    /// The same for a client's connection, which may have to be turned away.
+    pub async fn take_for_client(self: &Rc<Self>) -> Slot {
+        loop {
+            let freed = self.freed.listen();
+            if let Some(slot) = self.try_take(Side::Client) {
+                return slot;
             }
-            if self.used.get() >= limit {
+            if self.evict(Side::Client) {
+                look_again(freed).await;
+            } else if let Some(slot) = self.try_take(Side::TurnedAway) {
+                return slot;
+            } else {
+                _ = self.evict(Side::TurnedAway);
                 freed.await;
             }
         }
     }
 
-    pub fn park(self: &Rc<Self>, close: impl FnOnce() + 'static) -> Parked {
+    pub fn park(self: &Rc<Self>, side: Side, close: impl FnOnce() + 'static) -> Parked {
         let place = self.next.get();
         self.next.set(place + 1);
-        self.parked.borrow_mut().insert(place, Box::new(close));
+        self.parked.borrow_mut().insert(place, (side, Box::new(close)));
         Parked(Rc::clone(self), place)
     }
 }
 
+async fn look_again(freed: event_listener::EventListener) {
+    let look = async {
+        Timer::after(LOOK).await;
+    };
+    freed.or(look).await;
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.used.set(self.0.used.get() - 1);
-        self.0.freed.notify(1);
+        let used = &self.descriptors.used[self.side as usize];
+        used.set(used.get() - 1);
+        self.descriptors.freed.notify(usize::MAX);
     }
 }
 
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -14,7 +14,7 @@
 use quillpoint::host::{NodeId, Outcome, Report, Role};
 
 use crate::config::Deployment;
-use crate::descriptors::{Descriptors, Parked, Slot};
+use crate::descriptors::{Descriptors, Parked, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
 use crate::pg::{self, Answer, Broken, Told};
 use crate::statement::Statement;
@@ -308,9 +308,14 @@
         self.nodes.borrow_mut().entry(node).or_default().waiting.push_back(lender);
         let pool = Rc::clone(self);
         let open = async move {
+            // A shortage of sockets here is no fault of the node's, so that its time runs from then on.
+            let slot = pool.descriptors.take().await;
+            if !pool.is_awaited(node) {
+                return;
+            }
             // It goes on when its call-out has ended: what has been paid for serves the next.
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
-            match Link::open(node, &pool.descriptors).or(late).await {
+            match Link::open(node, slot).or(late).await {
                 Ok(link) => pool.give_back(node, link),
                 Err(fault) => {
                     log::debug!("{}: no connection: {fault}", node.0);
@@ -322,6 +327,13 @@
         lent.recv().await.unwrap_or(Err(Outcome::NotSent))
     }
 
+    fn is_awaited(&self, node: NodeId) -> bool {
+        let mut nodes = self.nodes.borrow_mut();
+        let waiting = &mut nodes.entry(node).or_default().waiting;
+        waiting.retain(|waiting| !waiting.is_closed());
+        !waiting.is_empty()
+    }
+
     /// To the first that still waits; what nobody waited for comes back.
     fn hand_out(&self, node: NodeId, mut lent: Lent) -> Option<Lent> {
         let mut nodes = self.nodes.borrow_mut();
@@ -351,7 +363,7 @@
                 node.idle.retain(|idle| idle.place != place);
             }
         };
-        let _parked = self.descriptors.park(close);
+        let _parked = self.descriptors.park(Side::Inner, close);
         let idle = Idle { link, since: Instant::now(), place, _parked };
         self.nodes.borrow_mut().entry(node).or_default().idle.push(idle);
     }
@@ -359,8 +371,7 @@
 
 impl Link {
     /// Connects, and is greeted up to ReadyForQuery.
-    async fn open(node: NodeId, descriptors: &Rc<Descriptors>) -> Result<Self, Fault> {
-        let slot = descriptors.take().await;
+    async fn open(node: NodeId, slot: Slot) -> Result<Self, Fault> {
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
         let mut link = Link { stream, unread: Vec::new(), written: false, _slot: slot };
--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -382,11 +382,23 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Self {
+        Self::connect_with(address, &[])
+    }
+
+    /// With a first query right behind the startup.
+    pub fn asking(address: SocketAddr, text: &str) -> Self {
+        let mut query = Vec::new();
+        pg::put_query(&mut query, text.as_bytes());
+        Self::connect_with(address, &query)
+    }
+
+    fn connect_with(address: SocketAddr, query: &[u8]) -> Self {
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(NEVER)).unwrap();
         let mut client = Self { stream, unread: Vec::new() };
         let mut out = Vec::new();
         pg::put_startup(&mut out, "portal", "crm");
+        out.extend(query);
         client.send(&out);
         client
     }
