--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -120,7 +120,10 @@
                 },
                 started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(quillpoint_settings::span),
             };
-            let old = self.endpoints.insert(target.uid.clone(), line.clone());
+            let old = match line.condition {
+                Condition::Gone => self.endpoints.remove(&target.uid),
+                _ => self.endpoints.insert(target.uid.clone(), line.clone()),
+            };
             // A machine that shows up elsewhere: the old node is gone, and a new one has come.
             if let Some(old) = old.or_else(|| before.get(&target.uid).cloned())
                 && old.node != line.node
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -152,13 +152,20 @@
     }
 }
 
+/// What this side needs to know of a method.
+struct Known {
+    name: String,
+    /// The longest that a client waits; one that claims more would be held for ever.
+    deadline: Duration,
+    has_sessions: bool,
+}
+
 /// Whatever the module needs is told by one method for each thing that can happen.
 pub struct Engine {
     pub clock: Clock,
     desk: Rc<Desk>,
     router: RefCell<Router<Hand>>,
-    methods: Vec<String>,
-    needs_session: Vec<bool>,
+    methods: Vec<Known>,
     next_rpc: Cell<u64>,
     listed: Cell<bool>,
 }
@@ -190,8 +197,8 @@
             rearmed: Event::new(),
         });
         let router = RefCell::new(Router::new(Hand(Rc::clone(&desk)), seed, values, clock.now()));
-        let (methods, next_rpc) = (deployment.methods.clone(), Cell::new(0));
-        let engine = Self { clock, desk, router, methods, needs_session, next_rpc, listed: Cell::new(false) };
+        let (next_rpc, listed) = (Cell::new(0), Cell::new(false));
+        let engine = Self { clock, desk, router, methods, next_rpc, listed };
         (Rc::new(engine), Work { chores: chores_in, list: list_in })
     }
 
@@ -233,7 +240,7 @@
     }
 
     pub fn method(&self, name: &str) -> Option<MethodId> {
-        self.methods.iter().position(|known| known == name).map(MethodId)
+        self.methods.iter().position(|known| known.name == name).map(MethodId)
     }
 
     /// The RPC's id, and where its orders arrive.
@@ -243,15 +250,17 @@
         let id = RpcId(self.next_rpc.get());
         self.next_rpc.set(id.0 + 1);
         let now = self.clock.now();
-        let live = Live { mailbox, deadline: now + statement.wait, call_outs: 0, last: None };
+        let known = &self.methods[method.0];
+        let remaining = statement.wait.min(known.deadline);
+        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
             method,
             tenant: TenantId(0),
-            session: statement.session.filter(|_| self.needs_session[method.0]),
+            session: statement.session.filter(|_| known.has_sessions),
             group: statement.group,
-            remaining: statement.wait,
+            remaining,
             work: None,
             since_write: statement.after.map(|at| now.saturating_sub(at)),
             retried: statement.retried,
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -191,12 +191,12 @@
     let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
     let discovery = Discovery::start(list.clone());
     let router = Running::start(&configuration(&discovery, &list, 64));
-    [&primary, &replica].map(|node| node.set(Does::Waits));
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Waits));
     let asks = || Client::asking(router.address, &statement("look", 9000));
     // Half of the 48 sockets are for clients, whose RPCs are held; the others need not wait for them.
     let mut held: Vec<Client> = (0..24).map(|_| asks()).collect();
     assert!((0..20).all(|_| asks().reply() == error("53300")));
-    [&primary, &replica].map(|node| node.set(Does::Answers));
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Answers));
     assert!(held.iter_mut().all(|client| client.reply() == ok()));
 }
 
