--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -183,9 +183,13 @@
         let clock = Clock::start();
         let values = deployment.values.clone();
         let most_call_outs = values.number("allowed.call_outs").unwrap_or(1.0) as u32;
-        let session =
-            |place| matches!(values.text(&format!("replication.needs.{place}")), "write" | "session");
-        let needs_session = (0..deployment.methods.len()).map(session).collect();
+        let known = |(place, name): (usize, &String)| {
+            let need = values.text(&format!("replication.needs.{place}"));
+            let deadline = values.span(&format!("methods.{place}.deadline"));
+            let deadline = deadline.unwrap_or(deployment.longest_deadline);
+            Known { name: name.clone(), deadline, has_sessions: matches!(need, "write" | "session") }
+        };
+        let methods = deployment.methods.iter().enumerate().map(known).collect();
         let desk = Rc::new(Desk {
             clock,
             live: RefCell::default(),
