--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -19,6 +19,7 @@
 use crate::engine::{Engine, Order};
 use crate::pg::{self, Asked, Broken, Opening};
 use crate::pool::Pool;
+use crate::seldom::Seldom;
 use crate::statement::Statement;
 
 /// How much is read at once.
@@ -50,10 +51,12 @@
     /// How long a message that has begun may take to arrive whole.
     patience: Duration,
     most_held: usize,
+    most_memory: usize,
     /// Sessions that are open, and a way to have each closed when it is idle.
     open: RefCell<BTreeMap<u64, Sender<()>>>,
     next: Cell<u64>,
     draining: Cell<bool>,
+    told: Seldom,
 }
 
 impl Clients {
@@ -63,6 +66,7 @@
         pool: Rc<Pool>,
         descriptors: Rc<Descriptors>,
         deployment: &Deployment,
+        most_memory: usize,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
@@ -71,9 +75,11 @@
             descriptors,
             patience: deployment.longest_deadline,
             most_held: deployment.most_held,
+            most_memory,
             open: RefCell::default(),
             next: Cell::new(0),
             draining: Cell::new(false),
+            told: Seldom::default(),
         })
     }
 
@@ -85,7 +91,9 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.welcome(stream, slot),
                 Err(error) => {
-                    log::warn!("accept failed: {error}");
+                    if self.told.is_due() {
+                        log::warn!("accept failed: {error}");
+                    }
                     Timer::after(ACCEPT_AGAIN).await;
                 }
             }
@@ -104,6 +112,9 @@
     }
 
     fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, slot: Slot) {
+        if slot.side == Side::TurnedAway && self.told.is_due() {
+            log::warn!("no socket left for more clients: some are turned away");
+        }
         let clients = Rc::clone(self);
         let number = self.next.get();
         self.next.set(number + 1);
@@ -264,7 +275,8 @@
             pg::put_error(out, false, "22023", &message, None);
             return Ok(());
         };
-        if engine.held() >= clients.most_held {
+        let (count, size) = engine.held();
+        if count >= clients.most_held || size + statement.size() > clients.most_memory {
             pg::put_error(out, false, "53300", "this router holds all the RPCs it may", None);
             return Ok(());
         }
@@ -339,6 +351,8 @@
     match stream.read(&mut piece).await? {
         0 => Err(End::Left),
         count => {
+            // No more than has come: many clients may send long messages at once.
+            unread.reserve_exact(count);
             unread.extend(&piece[..count]);
             Ok(())
         }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -15,6 +15,8 @@
 
 /// Descriptors that are no sockets of peers: the standard streams, the reactor's own, the signal pipe.
 const RESERVED: usize = 16;
+/// The part of the memory that statements may take: messages under way and answers take as much again each.
+const STATEMENTS_PART: usize = 4;
 /// Fewer than these leave no room for a client, a node and discovery at once.
 const FEWEST_SOCKETS: usize = 32;
 
@@ -43,6 +45,8 @@
     pub seed: u64,
     /// How many sockets the router may hold at once.
     pub sockets: usize,
+    /// How many bytes the statements of all held RPCs may take.
+    pub statements: usize,
     /// The list of nodes as this router had it last.
     pub known: Page,
     pub deployment: Deployment,
@@ -96,6 +100,12 @@
             .as_u64()
             .filter(|count| *count as usize >= FEWEST_SOCKETS)
             .ok_or_else(|| fault("limits.sockets", "a number of descriptors, 32 or more", sockets))?;
+        let memory = match &tree["limits"]["memory_mb"] {
+            Json::Null => usize::MAX,
+            mb => mb.as_f64().filter(|mb| *mb >= 1.0).map(|mb| (mb * 1024.0 * 1024.0) as usize).ok_or_else(
+                || fault("limits.memory_mb", "megabytes, 1 or more, or nothing for no limit", mb),
+            )?,
+        };
         let settings = &tree["settings"];
         if !settings.is_object() {
             return Err(fault("settings", "the deployment's settings as an object", settings));
@@ -112,6 +122,7 @@
             discovery: address(text("GW_DISCOVERY", "discovery"))?,
             seed,
             sockets: sockets as usize - RESERVED,
+            statements: memory / STATEMENTS_PART,
             known,
             deployment,
         })
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -81,12 +81,15 @@
     deadline: Duration,
     call_outs: u32,
     last: Option<Outcome>,
+    size: usize,
 }
 
 /// The module's host.
 struct Desk {
     clock: Clock,
     live: RefCell<BTreeMap<RpcId, Live>>,
+    /// The memory of the statements of all that is held.
+    size: Cell<usize>,
     most_call_outs: u32,
     /// Call-outs that can not be made, to be ended as such once the module's call is over.
     unsent: RefCell<Vec<CallOut>>,
@@ -99,9 +102,16 @@
 struct Hand(Rc<Desk>);
 
 impl Desk {
+    /// The one place where an RPC ends.
+    fn remove(&self, rpc: RpcId) -> Option<Live> {
+        let live = self.live.borrow_mut().remove(&rpc)?;
+        self.size.set(self.size.get() - live.size);
+        Some(live)
+    }
+
     /// The final answer: whoever gives it, the RPC is over here.
     fn finish(&self, rpc: RpcId, order: impl FnOnce(&Live) -> Order) {
-        if let Some(live) = self.live.borrow_mut().remove(&rpc) {
+        if let Some(live) = self.remove(rpc) {
             // Its task may have ended with its client; then nobody is owed the answer.
             _ = live.mailbox.try_send(order(&live));
         }
@@ -193,6 +203,7 @@
         let desk = Rc::new(Desk {
             clock,
             live: RefCell::default(),
+            size: Cell::new(0),
             most_call_outs,
             unsent: RefCell::default(),
             chores,
@@ -239,8 +250,9 @@
         self.listed.get()
     }
 
-    pub fn held(&self) -> usize {
-        self.desk.live.borrow().len()
+    /// How many RPCs are held, and the memory that their statements take.
+    pub fn held(&self) -> (usize, usize) {
+        (self.desk.live.borrow().len(), self.desk.size.get())
     }
 
     pub fn method(&self, name: &str) -> Option<MethodId> {
@@ -256,7 +268,9 @@
         let now = self.clock.now();
         let known = &self.methods[method.0];
         let remaining = statement.wait.min(known.deadline);
-        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None };
+        let size = statement.size();
+        self.desk.size.set(self.desk.size.get() + size);
+        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None, size };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
@@ -274,7 +288,7 @@
     }
 
     pub fn client_left(&self, rpc: RpcId) {
-        if self.desk.live.borrow_mut().remove(&rpc).is_some() {
+        if self.desk.remove(rpc).is_some() {
             self.tell(|router, _| router.client_left(rpc));
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod engine;
 pub mod pg;
 pub mod pool;
+pub mod seldom;
 pub mod serve;
 pub mod statement;
--- a/router/src/pg.rs
+++ b/router/src/pg.rs
@@ -254,6 +254,12 @@
     put(out, b'Q', |out| put_text(out, text));
 }
 
+pub fn query(text: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(text.len() + 6);
+    put_query(&mut out, text);
+    out
+}
+
 /// The answer to a startup: no password, what clients ask of every server, ready.
 pub fn put_welcome(out: &mut Vec<u8>) {
     put(out, b'R', |out| out.extend([0; 4]));
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -17,13 +17,12 @@
 use crate::descriptors::{Descriptors, Parked, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
 use crate::pg::{self, Answer, Broken, Told};
+use crate::seldom::Seldom;
 use crate::statement::Statement;
 
 /// Nodes accept any user; these are the ones that clients name.
 const USER: &str = "portal";
 const DATABASE: &str = "crm";
-/// A line on one node's state follows the last one no sooner.
-const LINE_EVERY: Duration = Duration::from_secs(1);
 /// A probe that needs no more than what any answer can carry.
 const PROBE: &[u8] = b"SHOW load";
 
@@ -72,9 +71,9 @@
     /// Call-outs that wait, the first come first. Each has a connection of its own being opened, but takes
     /// whichever comes first.
     waiting: VecDeque<Sender<Lent>>,
-    /// Whether it was last found out of reach, as the log has it, and when that was told.
+    /// Whether it was last found out of reach, as the log has it.
     out_of_reach: bool,
-    told: Option<Instant>,
+    told: Seldom,
 }
 
 pub struct Pool {
@@ -118,7 +117,7 @@
                     let (pool, engine) = (Rc::clone(&self), Rc::clone(&engine));
                     let probe = async move {
                         let until = Instant::now() + pool.connect_time_out;
-                        let (outcome, heard) = pool.exchange(node, until, |_| Some(PROBE.to_vec())).await;
+                        let (outcome, heard) = pool.exchange(node, until, |_| Some(pg::query(PROBE))).await;
                         // The row is the report, for a probe.
                         let row = heard.answer.and_then(|answer| answer.value);
                         let row = row.and_then(|bytes| String::from_utf8(bytes).ok());
@@ -152,7 +151,8 @@
             // one whose RPC is over by then.
             let query = |waited: bool| {
                 let goes = !waited || engine.still_goes(&call_out);
-                goes.then(|| statement.with_wait(call_out.until.saturating_sub(engine.clock.now())))
+                let wait = call_out.until.saturating_sub(engine.clock.now());
+                goes.then(|| pg::query(&statement.with_wait(wait)))
             };
             let (outcome, heard) = pool.exchange(call_out.node, until, query).await;
             pool.tell_reach(call_out.node, outcome);
@@ -180,11 +180,11 @@
                     Err(outcome) => return (outcome, heard),
                 },
             };
-            let Some(query) = query(waited) else {
+            let Some(message) = query(waited) else {
                 self.give_back(node, link);
                 return (Outcome::NotSent, heard);
             };
-            let asked = async { Some(self.ask(&mut link, &query, &mut heard).await) };
+            let asked = async { Some(self.ask(&mut link, message, &mut heard).await) };
             return match asked.or(at(until, None)).await {
                 Some(Ok(outcome)) => {
                     self.give_back(node, link);
@@ -212,11 +212,10 @@
         };
         let mut nodes = self.nodes.borrow_mut();
         let entry = nodes.entry(node).or_default();
-        let recent = entry.told.is_some_and(|told| told.elapsed() < LINE_EVERY);
-        if out_of_reach == entry.out_of_reach || recent {
+        if out_of_reach == entry.out_of_reach || !entry.told.is_due() {
             return;
         }
-        (entry.out_of_reach, entry.told) = (out_of_reach, Some(Instant::now()));
+        entry.out_of_reach = out_of_reach;
         match out_of_reach {
             true => log::warn!("node {} out of reach: {outcome:?}", node.0),
             false => log::info!("node {} answers again", node.0),
@@ -228,14 +227,13 @@
     async fn ask(
         &self,
         link: &mut Link,
-        query: &[u8],
+        message: Vec<u8>,
         heard: &mut Heard,
     ) -> Result<Outcome, (Option<Outcome>, Fault)> {
-        let mut message = Vec::with_capacity(query.len() + 6);
-        pg::put_query(&mut message, query);
         link.written = false;
         link.stream.write_all(&message).await.map_err(|error| (None, error.into()))?;
         link.written = true;
+        // It may be long, and the answer long in coming.
         drop(message);
         let (mut outcome, mut column, mut value) = (None, None, None);
         loop {
@@ -386,7 +384,7 @@
                     return Err(Fault::Ended);
                 }
                 Told::Authentication(kind) if kind != 0 => {
-                    log::warn!("{} asks for a password, which routers have none of", node.0);
+                    log::debug!("{} asks for a password, which routers have none of", node.0);
                     return Err(Fault::Ended);
                 }
                 _ => {}
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -31,8 +31,8 @@
         Directory::new(launch.discovery, deployment, &launch.known, Rc::clone(&descriptors));
     engine.list_changed(Extent::Remembered, &known);
     let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), deployment);
-    let clients =
-        Clients::new(Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool), descriptors, deployment);
+    let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
+    let clients = Clients::new(executors, engines, pools, descriptors, deployment, launch.statements);
     executor.spawn(directory.run(Rc::clone(&engine), work.list)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
--- a/router/src/statement.rs
+++ b/router/src/statement.rs
@@ -86,6 +86,11 @@
         Ok(Self { text, wait_at, method, wait, group, after, retried, session })
     }
 
+    /// The memory that it takes.
+    pub fn size(&self) -> usize {
+        self.text.len()
+    }
+
     /// The statement for a node, which is told how long its answer is waited for.
     pub fn with_wait(&self, wait: Duration) -> Vec<u8> {
         let (before, after) = (&self.text[..self.wait_at.start], &self.text[self.wait_at.end..]);
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -200,6 +200,24 @@
     assert!(held.iter_mut().all(|client| client.reply() == ok()));
 }
 
+#[test]
+fn what_there_is_no_memory_for_is_pushed_back() {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let megabyte = configuration(&discovery, &list, 64).replace(r#""memory_mb":192"#, r#""memory_mb":1"#);
+    let router = Running::start(&megabyte);
+    replica.set(Does::Waits);
+    let long = format!("{} -- {}", statement("look", 9000), "x".repeat(100_000));
+    let mut held: Vec<Client> = (0..2).map(|_| Client::asking(router.address, &long)).collect();
+    replica.await_queries(2);
+    assert_eq!(Client::asking(router.address, &long).reply(), error("53300"), "three exceed a quarter");
+    let mut small = Client::asking(router.address, &statement("look", 9000));
+    replica.set(Does::Answers);
+    assert!(held.iter_mut().chain([&mut small]).all(|client| client.reply() == ok()));
+    assert_eq!(Client::asking(router.address, &long).reply(), ok(), "what has ended takes none");
+}
+
 #[test]
 fn a_router_that_is_told_to_stop_answers_all_it_holds_first() {
     let (_, replica, mut router, _discovery) = pair();
@@ -300,6 +318,7 @@
     for (from, to, named) in [
         (r#""seed":"92094eb940cf389a""#, r#""seed":"x""#, "seed:"),
         (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#, "listen:"),
+        (r#""memory_mb":192"#, r#""memory_mb":"much""#, "limits.memory_mb:"),
         (r#""sockets":200"#, r#""sockets":3"#, "limits.sockets:"),
         (r#""GiveUpMs":9000.0,"#, "", "methods.0.deadline"),
         (r#""rev":0"#, r#""rev":"x""#, "known:"),
