--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -100,14 +100,14 @@
         }
     }
 
-    /// Takes what has arrived at the listener by now, for its last moment.
-    pub fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
+    /// Takes what has arrived at the listener by now, before it is closed: the kernel has accepted that.
+    pub async fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
         while let Ok((stream, _)) = listener.get_ref().accept() {
-            let taken = futures_lite::future::block_on(futures_lite::future::poll_once(
-                self.descriptors.take_for_client(),
-            ));
-            let (Some(slot), Ok(stream)) = (taken, Async::new(stream)) else { return };
-            self.welcome(stream, slot);
+            let slot = self.descriptors.take_for_client().await;
+            match Async::new(stream) {
+                Ok(stream) => self.welcome(stream, slot),
+                Err(error) => log::warn!("accept failed: {error}"),
+            }
         }
     }
 
@@ -122,20 +122,19 @@
         self.open.borrow_mut().insert(number, close.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            let (unread, side, discards) = (Vec::new(), slot.side, false);
-            let mut session = Session { clients: &clients, stream, unread, close, closed, side, discards };
+            let (unread, discards) = (Vec::new(), false);
+            let mut session = Session { clients: &clients, stream, unread, close, closed, slot, discards };
             let end = session.run().await;
             if let Err(End::Broken(broken)) = &end {
                 let mut out = Vec::new();
                 pg::put_error(&mut out, true, broken.code(), &broken.to_string(), None);
-                _ = session.stream.write_all(&out).await;
+                _ = session.send(&out).await;
             }
             if let Err(end) = end {
                 log::debug!("session {number}: {end}");
             }
             drop(session);
             clients.open.borrow_mut().remove(&number);
-            drop(slot);
         };
         self.executor.spawn(task).detach();
     }
@@ -159,7 +158,7 @@
     unread: Vec<u8>,
     close: Sender<()>,
     closed: async_channel::Receiver<()>,
-    side: Side,
+    slot: Slot,
     /// After a message of the extended protocol, all is passed over up to Sync.
     discards: bool,
 }
@@ -182,7 +181,7 @@
                     self.discards = true;
                     pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
                 }
-                Asked::Query(_) if self.side == Side::TurnedAway => {
+                Asked::Query(_) if !self.slot.is_let_in() => {
                     pg::put_error(&mut out, true, "53300", "this router has no socket left for it", None);
                     return self.send(&out).await;
                 }
@@ -241,7 +240,7 @@
             // While it drains, a router still takes what has arrived by now.
             let draining = self.clients.draining.get();
             let (close, closed) = (self.close.clone(), self.closed.clone());
-            let _parked = self.clients.descriptors.park(self.side, move || _ = close.try_send(()));
+            let _parked = self.clients.descriptors.park(self.slot.side, move || _ = close.try_send(()));
             let closing = async {
                 if !draining {
                     _ = closed.recv().await;
--- a/router/src/descriptors.rs
+++ b/router/src/descriptors.rs
@@ -130,6 +130,20 @@
     freed.or(look).await;
 }
 
+impl Slot {
+    /// Whether there is room for this client, be it only by now.
+    pub fn is_let_in(&mut self) -> bool {
+        let (from, to) =
+            (&self.descriptors.used[self.side as usize], &self.descriptors.used[Side::Client as usize]);
+        if self.side == Side::TurnedAway && to.get() < self.descriptors.share(Side::Client) {
+            from.set(from.get() - 1);
+            to.set(to.get() + 1);
+            self.side = Side::Client;
+        }
+        self.side != Side::TurnedAway
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         let used = &self.descriptors.used[self.side as usize];
--- a/router/src/drain.rs
+++ b/router/src/drain.rs
@@ -15,14 +15,12 @@
 /// How often it is looked whether all is answered.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// Ends once SIGTERM or SIGINT has come. Later ones change nothing.
-pub async fn told_to_stop() -> std::io::Result<()> {
+/// Ends once SIGTERM or SIGINT has come. Later ones change nothing while what this returns is kept.
+pub async fn told_to_stop() -> std::io::Result<Signals> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     signals.next().await.transpose()?;
     log::info!("told to stop: draining");
-    // Kept for good, so that a second signal does not kill.
-    std::mem::forget(signals);
-    Ok(())
+    Ok(signals)
 }
 
 /// Answers all that is held, and takes nothing new once the front has turned away. Ends when nothing is held.
@@ -33,7 +31,7 @@
 ) {
     Timer::after(STILL_SENT_TO).await;
     accepting.cancel().await;
-    clients.accept_rest(&listener);
+    clients.accept_rest(&listener).await;
     drop(listener);
     clients.drain();
     while clients.open_sessions() > 0 {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -41,7 +41,7 @@
     let accepting = executor.spawn(Rc::clone(&clients).accept(Rc::clone(&listener)));
     let address = listener.get_ref().local_addr()?;
     log::info!("{} serves at {address}, {} nodes known", launch.name, known.len());
-    drain::told_to_stop().await?;
+    let _signals = drain::told_to_stop().await?;
     drain::drain(&clients, listener, accepting).await;
     drop(listener_slot);
     log::info!("drained");
