A list of which nothing can be read is a failed call; waits that could spin are bounded

Found by reading: an unreadable whole list would have stopped every node; idle times no longer than a connect, an ask_every of zero, or a discovery that answers at once would have made a loop spin.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -17,6 +17,8 @@
 const RESERVED: usize = 16;
 /// The part of the memory that statements may take: messages under way and answers take as much again each.
 const STATEMENTS_PART: usize = 4;
+/// Idle connections are looked at no more often.
+const SHORTEST_IDLE: Duration = Duration::from_millis(100);
 /// Fewer than these leave no room for a client, a node and discovery at once.
 const FEWEST_SOCKETS: usize = 32;
 
@@ -167,7 +169,7 @@
             report_fields: list("reports.fields", ""),
             longest_deadline,
             connect_time_out: span("allowed.connect_time_out")?,
-            idle_time: span("allowed.idle_connection")?,
+            idle_time: span("allowed.idle_connection")?.max(SHORTEST_IDLE),
             most_held: values.number("allowed.held").map_or(usize::MAX, |held| held as usize),
             ask_every: values.span("rules.ask_every").unwrap_or(Duration::from_secs(10)),
             values,
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -19,8 +19,12 @@
 /// A call may take so much longer than the wait it asks for: after that, what it would have told counts as
 /// told, so that waiting on is of no use.
 const SLACK: Duration = Duration::from_millis(2000);
-/// The longest wait that discovery grants.
+/// The longest wait that discovery grants, and the shortest that is asked for.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
+const SHORTEST_HOLD: Duration = Duration::from_secs(1);
+/// The next call of a watch comes no later than 200 ms after an answer. If discovery answers at once that there
+/// is nothing new, half of that keeps its calls from spinning.
+const PAUSE: Duration = Duration::from_millis(100);
 /// No list of a deployment comes near this.
 const LONGEST_BODY: usize = 4 << 20;
 const LONGEST_HEAD: usize = 16 << 10;
@@ -41,6 +45,8 @@
     Length,
     #[error("the list cannot be read: {0}")]
     List(#[from] serde_json::Error),
+    #[error("no entry of the list can be read")]
+    Entries,
 }
 
 /// One answer of discovery.
@@ -157,7 +163,7 @@
         let mut reader = Reader::new(deployment);
         let lines = reader.lines(known);
         let rev = (!lines.is_empty()).then_some(known.rev);
-        let hold = deployment.ask_every.min(LONGEST_HOLD);
+        let hold = deployment.ask_every.clamp(SHORTEST_HOLD, LONGEST_HOLD);
         (Self { address, hold, reader, rev, connection: None, descriptors }, lines)
     }
 
@@ -171,16 +177,18 @@
                     _ = asked.recv().await;
                     None
                 };
+                let called = Instant::now();
                 let call = async { Some(self.call(hold).await) };
                 match call.or(again).await {
-                    Some(Ok(page)) => {
-                        let lines = self.reader.lines(&page);
-                        self.rev = Some(page.rev);
+                    Some(Ok((page, lines))) => {
                         if !lines.is_empty() {
                             log::info!("list {}: {} entries", page.rev, lines.len());
                         }
                         let extent = if page.all { Extent::Whole } else { Extent::Changes };
                         engine.list_changed(extent, &lines);
+                        if lines.is_empty() && called.elapsed() < hold / 2 {
+                            Timer::after(PAUSE).await;
+                        }
                         hold = self.hold;
                     }
                     Some(Err(failure)) => {
@@ -199,7 +207,7 @@
         }
     }
 
-    async fn call(&mut self, hold: Duration) -> Result<Page, Failure> {
+    async fn call(&mut self, hold: Duration) -> Result<(Page, Vec<Listed>), Failure> {
         let late = async {
             Timer::after(hold + SLACK).await;
             Err(Failure::Late)
@@ -208,7 +216,14 @@
             None => "/catalog/members".to_string(),
             Some(rev) => format!("/catalog/members?from={rev}&hold_ms={}", hold.as_millis()),
         };
-        self.fetch(&path).or(late).await
+        let page = self.fetch(&path).or(late).await?;
+        let lines = self.reader.lines(&page);
+        // Guards against taking a list in a form that is not known here for one on which nobody is left.
+        if lines.is_empty() && !page.targets.is_empty() {
+            return Err(Failure::Entries);
+        }
+        self.rev = Some(page.rev);
+        Ok((page, lines))
     }
 
     async fn fetch(&mut self, path: &str) -> Result<Page, Failure> {
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -99,7 +99,7 @@
             next: Cell::new(0),
             connect_time_out: deployment.connect_time_out,
             // A query may be under way for as long as a connect may take, and must not cross its node's closing.
-            idle_time: deployment.idle_time.saturating_sub(deployment.connect_time_out),
+            idle_time: deployment.idle_time - deployment.connect_time_out.min(deployment.idle_time / 2),
             report_fields: deployment.report_fields.clone(),
         })
     }
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -168,6 +168,16 @@
     assert_eq!((drains.queries().len(), stays.queries().len()), (0, 20));
 }
 
+#[test]
+fn a_list_of_which_nothing_can_be_read_leaves_the_old_one() {
+    let (_, replica, router, discovery) = pair();
+    discovery.await_calls(2);
+    discovery.change(r#"[{"name":"s-1"},{"name":"s-2"}]"#.into());
+    // It failed, so the next call is the first of a new watch.
+    discovery.await_calls(3);
+    assert_eq!((router.client().rpc("look", 9000), replica.queries().len()), (ok(), 1));
+}
+
 #[test]
 fn the_longest_idle_connection_goes_when_descriptors_are_short() {
     let (primary, replica) = (Node::start(true), Node::start(false));
