--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -22,8 +22,8 @@
 /// The longest wait that discovery grants, and the shortest that is asked for.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 const SHORTEST_HOLD: Duration = Duration::from_secs(1);
-/// The next call of a watch comes no later than 200 ms after an answer. If discovery answers at once that there
-/// is nothing new, half of that keeps its calls from spinning.
+/// The next call of a watch comes no later than 200 ms after an answer. If discovery answers at once that
+/// there is nothing new, half of that keeps its calls from spinning.
 const PAUSE: Duration = Duration::from_millis(100);
 /// No list of a deployment comes near this.
 const LONGEST_BODY: usize = 4 << 20;
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -98,7 +98,7 @@
             nodes: RefCell::default(),
             next: Cell::new(0),
             connect_time_out: deployment.connect_time_out,
-            // A query may be under way for as long as a connect may take, and must not cross its node's closing.
+            // A query may be under way for as long as a connect may take; the node must not close meanwhile.
             idle_time: deployment.idle_time - deployment.connect_time_out.min(deployment.idle_time / 2),
             report_fields: deployment.report_fields.clone(),
         })
@@ -147,8 +147,8 @@
         let pool = Rc::clone(self);
         let task = async move {
             let until = engine.clock.instant(call_out.until);
-            // Guards against a read that has become too old while its connection was being opened, and against
-            // one whose RPC is over by then.
+            // Guards against a read that has become too old while its connection was being opened, and
+            // against one whose RPC is over by then.
             let query = |waited: bool| {
                 let goes = !waited || engine.still_goes(&call_out);
                 let wait = call_out.until.saturating_sub(engine.clock.now());
@@ -161,8 +161,8 @@
         self.executor.spawn(task).detach();
     }
 
-    /// One query to a node and its outcome. What is asked is settled when there is a connection for it, and it
-    /// may be told that it had to wait. The connection is back in the pool, or closed, before this ends.
+    /// One query to a node and its outcome. What is asked is settled when there is a connection for it, by
+    /// whether it had to wait. The connection is back in the pool, or closed, before this ends.
     async fn exchange(
         self: &Rc<Self>,
         node: NodeId,
@@ -191,8 +191,8 @@
                     (outcome, heard)
                 }
                 Some(Err((Some(outcome), _))) => (outcome, heard),
-                // A node may close an idle connection at any time. What it has not been sent whole cannot have
-                // run, so a used connection that breaks before that is no failure of the call-out.
+                // A node may close an idle connection at any time. What it has not been sent whole cannot
+                // have run, so a used connection that breaks before that is no failure of the call-out.
                 Some(Err((None, _))) if !waited && !link.written => continue,
                 Some(Err((None, fault))) => {
                     log::debug!("{}: {fault}", node.0);
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -143,8 +143,8 @@
         }
         client.rpc("look", 9000) == ok()
     };
-    // An end may still be under way when the next RPC is sent, but hardly ever. Used again, a closed connection
-    // would cost every second RPC.
+    // An end may still be under way when the next RPC is sent, but hardly ever. Used again, a closed
+    // connection would cost every second RPC.
     let answered = (0..20).filter(|_| answered()).count();
     assert!(answered > 15, "{answered} of 20");
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -776,7 +776,7 @@
             && (member.warmth >= 1.0 || member.credit >= 0.0)
     }
 
-    /// Asked again at the last moment if the connection had to be waited for, as a bound counts from the send.
+    /// Asked again before a write that had to wait for its connection: a bound counts from the send.
     pub fn still_goes(&self, now: Duration, id: RpcId, node: NodeId) -> bool {
         let checked = self.values.text("replication.read_check") != "none"; // by the nodes themselves
         self.held.get(&id).is_some_and(|held| checked || self.is_current(now, held, node))
