SIGHUP is caught, and moves the list's watch to the discovery that the file names

Now signals are caught before anything is opened, config reads the file again (its discovery wins over the variable, which is as old as the process), and the directory ends its held call and asks the new address for the whole list.

--- a/router/src/command.rs
+++ b/router/src/command.rs
@@ -14,7 +14,8 @@
 
 Usage: quillpoint [serve | check | version] [--config FILE]
 
-  serve     run one router until SIGTERM (what is done when nothing is said)
+  serve     run one router until SIGTERM (what is done when nothing is said); SIGHUP has it read its
+            configuration anew
   check     read the configuration and say what is wrong with it
   version   print the version
 
@@ -48,7 +49,7 @@
         Deed::Serve | Deed::Check => {
             let level = env_logger::Env::default().default_filter_or("info");
             env_logger::Builder::from_env(level).format_timestamp_millis().init();
-            let launch = match Launch::read(file.as_deref(), |name| std::env::var(name).ok()) {
+            let launch = match Launch::read(file.as_deref(), variable) {
                 Ok(launch) => launch,
                 Err(fault) => {
                     eprintln!("quillpoint: {fault}");
@@ -57,7 +58,7 @@
             };
             if matches!(deed, Deed::Check) {
                 println!("the configuration is in order");
-            } else if let Err(error) = serve(launch) {
+            } else if let Err(error) = serve(launch, move || Launch::reread(file.as_deref(), variable)) {
                 eprintln!("quillpoint: {error}");
                 return ExitCode::FAILURE;
             }
@@ -66,6 +67,10 @@
     ExitCode::SUCCESS
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 fn read(mut words: Parser) -> Result<(Deed, Option<PathBuf>), lexopt::Error> {
     let (mut deed, mut file) = (None, None);
     while let Some(word) = words.next()? {
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -83,6 +83,24 @@
         Self::from_tree(&tree, variable)
     }
 
+    /// What a running router is told on SIGHUP. Its variables are as old as the process, so the file's word on
+    /// where discovery is wins; name and address are the process's own and stay.
+    pub fn reread(file: Option<&Path>, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Fault> {
+        Self::read(file, |name| variable(name).filter(|_| name != "GW_DISCOVERY"))
+    }
+
+    /// The keys in which the other differs and which are not taken over while the router runs.
+    pub fn held_back(&self, other: &Self) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits.sockets", self.sockets != other.sockets),
+            ("limits.memory_mb", self.statements != other.statements),
+            ("settings", self.deployment.values.0 != other.deployment.values.0),
+        ];
+        changed.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
+    }
+
     pub fn from_tree(tree: &Json, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Fault> {
         let text = |name: &str, key: &str| match (variable(name), &tree[key]) {
             (Some(text), _) => (name.to_string(), Some(text)),
--- a/router/src/directory.rs
+++ b/router/src/directory.rs
@@ -167,20 +167,26 @@
         (Self { address, hold, reader, rev, connection: None, descriptors }, lines)
     }
 
-    /// Each time the module asks, a new watch: first what is new by now, then calls that wait for more.
-    pub async fn run(mut self, engine: Rc<Engine>, asked: Receiver<()>) {
-        while asked.recv().await.is_ok() {
+    /// Each time the module asks, a new watch: first what is new by now, then calls that wait for more. The
+    /// same when discovery has moved, which `moves` tells.
+    pub async fn run(mut self, engine: Rc<Engine>, asked: Receiver<()>, moves: Receiver<SocketAddr>) {
+        let anew = || {
+            let moved = async { moves.recv().await.ok() };
+            let asked = async {
+                _ = asked.recv().await;
+                None
+            };
+            moved.or(asked)
+        };
+        loop {
+            self.turn_to(anew().await);
             let mut hold = Duration::ZERO;
             loop {
                 // One ask is answered by the watch that stands; what asks pile up meanwhile is one more.
-                let again = async {
-                    _ = asked.recv().await;
-                    None
-                };
                 let called = Instant::now();
-                let call = async { Some(self.call(hold).await) };
-                match call.or(again).await {
-                    Some(Ok((page, lines))) => {
+                let call = async { Ok(self.call(hold).await) };
+                match call.or(async { Err(anew().await) }).await {
+                    Ok(Ok((page, lines))) => {
                         if !lines.is_empty() {
                             log::info!("list {}: {} entries", page.rev, lines.len());
                         }
@@ -191,15 +197,14 @@
                         }
                         hold = self.hold;
                     }
-                    Some(Err(failure)) => {
+                    Ok(Err(failure)) => {
                         log::warn!("list call failed: {failure}");
                         self.connection = None;
                         engine.list_failed();
                         break;
                     }
-                    None => {
-                        log::debug!("list asked for anew");
-                        self.connection = None;
+                    Err(moved) => {
+                        self.turn_to(moved);
                         hold = Duration::ZERO;
                     }
                 }
@@ -207,6 +212,16 @@
         }
     }
 
+    /// A watch begins on a connection of its own. Elsewhere the versions may be others, so the whole list is
+    /// asked for.
+    fn turn_to(&mut self, moved: Option<SocketAddr>) {
+        self.connection = None;
+        match moved {
+            Some(address) => (self.address, self.rev) = (address, None),
+            None => log::debug!("list asked for anew"),
+        }
+    }
+
     async fn call(&mut self, hold: Duration) -> Result<(Page, Vec<Listed>), Failure> {
         let late = async {
             Timer::after(hold + SLACK).await;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod pool;
 pub mod seldom;
 pub mod serve;
+pub mod signals;
 pub mod statement;
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,20 +8,27 @@
 use quillpoint::host::Extent;
 
 use crate::client::Clients;
-use crate::config::Launch;
+use crate::config::{Fault, Launch};
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
 use crate::drain;
 use crate::engine::Engine;
 use crate::pool::Pool;
+use crate::signals;
 
-/// Serves until told to stop and drained.
-pub fn serve(launch: Launch) -> std::io::Result<()> {
+/// Serves until told to stop and drained. On SIGHUP `reread` is called for what holds from then on.
+pub fn serve(launch: Launch, reread: impl Fn() -> Result<Launch, Fault> + 'static) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(launch, Rc::clone(&executor))))
+    async_io::block_on(executor.run(run(launch, reread, Rc::clone(&executor))))
 }
 
-async fn run(launch: Launch, executor: Rc<LocalExecutor<'static>>) -> std::io::Result<()> {
+async fn run(
+    launch: Launch,
+    reread: impl Fn() -> Result<Launch, Fault> + 'static,
+    executor: Rc<LocalExecutor<'static>>,
+) -> std::io::Result<()> {
+    // Before anything else: a signal that comes early must not end the process.
+    let signals = signals::caught()?;
     let deployment = &launch.deployment;
     let descriptors = Descriptors::new(launch.sockets);
     let listener = Rc::new(Async::<TcpListener>::bind(launch.listen)?);
@@ -33,7 +40,8 @@
     let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), deployment);
     let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
     let clients = Clients::new(executors, engines, pools, descriptors, deployment, launch.statements);
-    executor.spawn(directory.run(Rc::clone(&engine), work.list)).detach();
+    let (moves, moved) = async_channel::unbounded();
+    executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
     let timed = Rc::clone(&engine);
@@ -41,7 +49,9 @@
     let accepting = executor.spawn(Rc::clone(&clients).accept(Rc::clone(&listener)));
     let address = listener.get_ref().local_addr()?;
     log::info!("{} serves at {address}, {} nodes known", launch.name, known.len());
-    let _signals = drain::told_to_stop().await?;
+    let (stop, stopped) = async_channel::bounded(1);
+    executor.spawn(signals::obey(signals, launch, reread, moves, stop)).detach();
+    _ = stopped.recv().await;
     drain::drain(&clients, listener, accepting).await;
     drop(listener_slot);
     log::info!("drained");
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -236,8 +236,8 @@
     replica.set(Does::Waits);
     busy.ask(&statement("look", 9000));
     replica.await_queries(2);
-    router.terminate();
-    router.terminate();
+    router.signal("-TERM");
+    router.signal("-TERM");
     assert_eq!(idle.told(), None, "an idle connection is closed");
     replica.set(Does::Answers);
     assert_eq!(busy.reply(), ok());
@@ -245,6 +245,43 @@
     assert!(router.ended().success());
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_of_the_list_and_ends_nothing() {
+    let nodes = [true, false, false].map(Node::start);
+    let [primary, first, second] = &nodes;
+    let only = |node| targets(&[(primary, "primary", "in_service"), (node, "replica", "in_service")]);
+    let [old, new] = [first, second].map(|node| Discovery::start(only(node)));
+    let text = configuration(&old, &only(first), 200);
+    // The variable is as old as the process, so the file's word wins from then on.
+    let mut router = Running::start_with(&text, &[("GW_DISCOVERY", &old.address.to_string())]);
+    old.await_calls(2);
+    let mut client = router.client();
+    assert_eq!((client.rpc("look", 9000), first.queries().len()), (ok(), 1));
+    second.set(Does::Waits);
+    let told = |text: &str, line: &str| {
+        std::fs::write(&router.path, text).unwrap();
+        router.signal("-HUP");
+        router.await_line(line);
+    };
+    told("{", "not taken over");
+    told(&text.replace("192", "64"), "limits.memory_mb has changed");
+    told(&text.replace(&old.address.to_string(), &new.address.to_string()), "read anew, discovery at");
+    new.await_calls(2);
+    client.ask(&statement("look", 9000));
+    second.await_queries(1);
+    // Also while it drains, with a call-out under way.
+    router.signal("-TERM");
+    router.await_line("draining");
+    old.change(only(first));
+    let calls = old.calls();
+    std::fs::write(&router.path, &text).unwrap();
+    router.signal("-HUP");
+    old.await_calls(calls + 2);
+    second.set(Does::Answers);
+    assert_eq!((client.reply(), first.queries().len(), second.queries().len()), (ok(), 1, 1));
+    assert!(router.ended().success());
+}
+
 #[test]
 fn what_cannot_be_read_is_answered_and_harms_nobody() {
     let (_, _, router, _discovery) = pair();
--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -267,6 +268,10 @@
         }
     }
 
+    pub fn calls(&self) -> usize {
+        *self.calls.0.lock().unwrap()
+    }
+
     /// A call after an answer shows that the answer has been read.
     pub fn await_calls(&self, count: usize) {
         let calls = self.calls.0.lock().unwrap();
@@ -279,6 +284,8 @@
 pub struct Running {
     pub child: Child,
     pub address: SocketAddr,
+    pub path: PathBuf,
+    log: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
 pub fn configuration(discovery: &Discovery, targets: &str, sockets: usize) -> String {
@@ -304,11 +311,11 @@
     )
 }
 
-pub fn file(text: &str) -> std::path::PathBuf {
+pub fn file(text: &str) -> PathBuf {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let name = format!("config-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
     path
 }
@@ -321,8 +328,12 @@
 
 impl Running {
     pub fn start(configuration: &str) -> Self {
+        Self::start_with(configuration, &[])
+    }
+
+    pub fn start_with(configuration: &str, variables: &[(&str, &str)]) -> Self {
         let path = file(configuration);
-        let mut command = command(&["serve", "--config", path.to_str().unwrap()], &[]);
+        let mut command = command(&["serve", "--config", path.to_str().unwrap()], variables);
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let address = loop {
@@ -331,9 +342,23 @@
                 break rest.split(',').next().unwrap().parse().unwrap();
             }
         };
-        // Read on, so that the router can always write its log.
-        thread::spawn(move || lines.for_each(drop));
-        Self { child, address }
+        let log = Arc::new((Mutex::new(Vec::new()), Condvar::new()));
+        let kept = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                kept.0.lock().unwrap().push(line);
+                kept.1.notify_all();
+            }
+        });
+        Self { child, address, path, log }
+    }
+
+    /// Until a line with this in it has been logged since the start.
+    pub fn await_line(&self, part: &str) {
+        let lines = self.log.0.lock().unwrap();
+        let missing = |lines: &mut Vec<String>| !lines.iter().any(|line| line.contains(part));
+        let (lines, wait) = self.log.1.wait_timeout_while(lines, NEVER, missing).unwrap();
+        assert!(!wait.timed_out(), "no line has {part:?}: {lines:?}");
     }
 
     /// Nodes as `(node, role)`, a list that names them, and a router that knows it.
@@ -347,9 +372,9 @@
         Client::connect(self.address)
     }
 
-    pub fn terminate(&self) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
     pub fn ended(&mut self) -> ExitStatus {
