Nodes' messages are read strictly; a spoilt answer is a failed call-out of its own kind

What a spoilt answer told is not learned; it is Outcome::Spoilt (it has run, the node is up), so no node is shut for it.

--- a/router/src/pg.rs
+++ b/router/src/pg.rs
@@ -3,8 +3,13 @@
 //! A decoder is given what has arrived so far and answers `None` while a message is not whole. What it takes
 //! is told as a count of bytes, so that the caller's buffer stays the only one.
 
-/// The longest message that is taken: a statement with a value of 64 KiB in hex, and its comment.
-pub const LONGEST: usize = 2 * 65_536 + 8_192;
+/// The longest value, and the longest message that only says something in words.
+const LONGEST_VALUE: usize = 65_536;
+const LONGEST_WORDS: usize = 8_192;
+/// The longest message that a client may send: a statement with a value in hex, and its comment.
+pub const LONGEST: usize = 2 * LONGEST_VALUE + LONGEST_WORDS;
+/// What a row of one field holds beside its value: its own length, the count of fields, the field's length.
+const ROW_HEAD: usize = 4 + 2 + 4;
 /// As PostgreSQL has it, for the packets that come before a session.
 const LONGEST_OPENING: usize = 10_000;
 
@@ -21,10 +26,12 @@
     Length(usize),
     #[error("protocol {}.{} is not spoken here", .0 >> 16, .0 & 0xffff)]
     Version(u32),
-    #[error("a message of type {0:?} ends inside a field")]
+    #[error("a message of type {0:?} and its fields do not fit")]
     Field(char),
     #[error("a message of type {0:?} has no place here")]
     Type(char),
+    #[error("its messages come in no order that makes an answer of one value")]
+    Order,
 }
 
 impl Broken {
@@ -73,8 +80,9 @@
         name: String,
         value: String,
     },
-    Columns(Vec<Column>),
-    Row(Vec<Option<Vec<u8>>>),
+    /// Of one column, as all that is answered here.
+    Column(Column),
+    Row(Option<Vec<u8>>),
     Complete(Vec<u8>),
     EmptyQuery,
     Error {
@@ -96,6 +104,42 @@
     pub tag: Vec<u8>,
 }
 
+/// The answer to one query, while its messages come in: a column, its row and the tag, or an error.
+#[derive(Default)]
+pub struct Reading(Option<Column>, Option<Option<Vec<u8>>>);
+
+/// What a query came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Said {
+    Value(Answer),
+    Error { code: String, message: String, fatal: bool },
+}
+
+impl Reading {
+    /// Takes the next message that is no parameter and no notice. Any other order than that of one value is
+    /// no answer: a second row, say, would be a part of something else.
+    pub fn take(&mut self, told: Told) -> Result<Option<Said>, Broken> {
+        match told {
+            Told::Column(column) if self.0.is_none() => self.0 = Some(column),
+            Told::Row(value) if self.0.is_some() && self.1.is_none() => self.1 = Some(value),
+            Told::Complete(tag) if tells_of_one(&tag) => {
+                let (column, value) = self.0.take().zip(self.1.take()).ok_or(Broken::Order)?;
+                return Ok(Some(Said::Value(Answer { column, value, tag })));
+            }
+            Told::Error { code, message, fatal, .. } => {
+                return Ok(Some(Said::Error { code, message, fatal }));
+            }
+            _ => return Err(Broken::Order),
+        }
+        Ok(None)
+    }
+}
+
+/// The tags of statements that count their rows end in the count; that of SHOW, a probe's, has none.
+fn tells_of_one(tag: &[u8]) -> bool {
+    tag == b"SHOW" || [&b"SELECT 1"[..], b"INSERT 0 1", b"UPDATE 1", b"DELETE 1"].contains(&tag)
+}
+
 /// Reads the fields of one message's body.
 struct Body<'a>(char, &'a [u8]);
 
@@ -119,6 +163,14 @@
     fn text(&mut self) -> Result<String, Broken> {
         Ok(String::from_utf8_lossy(self.bytes()?).into_owned())
     }
+    /// The count of columns or fields.
+    fn one(&mut self) -> Result<(), Broken> {
+        if self.u16()? == 1 { Ok(()) } else { Err(Broken::Field(self.0)) }
+    }
+    /// A body that goes on behind its last field is as wrong as one that ends early.
+    fn end(&self) -> Result<(), Broken> {
+        if self.1.is_empty() { Ok(()) } else { Err(Broken::Field(self.0)) }
+    }
 }
 
 /// The length field at the start of `bytes`, once it is there. It counts itself.
@@ -132,13 +184,29 @@
     }
 }
 
-/// One message of a session: its type, its body, and how many bytes it takes.
-fn message(bytes: &[u8]) -> Result<Option<(Body<'_>, usize)>, Broken> {
+/// One message of a session: its type, its body, and how many bytes it takes. What can be none is told by its
+/// first byte, or by its first five, by how long a message of each type may be.
+fn message(bytes: &[u8], longest: fn(u8) -> Option<usize>) -> Result<Option<(Body<'_>, usize)>, Broken> {
     let Some((kind, rest)) = bytes.split_first() else { return Ok(None) };
-    let Some(length) = length(rest, LONGEST)? else { return Ok(None) };
+    let longest = longest(*kind).ok_or(Broken::Type(char::from(*kind)))?;
+    let Some(length) = length(rest, longest)? else { return Ok(None) };
     Ok(rest.get(4..length).map(|body| (Body(char::from(*kind), body), 1 + length)))
 }
 
+fn longest_asked(kind: u8) -> Option<usize> {
+    b"QPBDECFHSX".contains(&kind).then_some(LONGEST)
+}
+
+fn longest_told(kind: u8) -> Option<usize> {
+    match kind {
+        b'D' => Some(ROW_HEAD + LONGEST_VALUE),
+        b'R' | b'S' | b'T' | b'C' | b'E' | b'N' | b'K' => Some(LONGEST_WORDS),
+        b'Z' => Some(5),
+        b'I' => Some(4),
+        _ => None,
+    }
+}
+
 pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Broken> {
     let Some(length) = length(bytes, LONGEST_OPENING)? else { return Ok(None) };
     if length < 8 {
@@ -155,13 +223,13 @@
 }
 
 pub fn asked(bytes: &[u8]) -> Result<Option<(Asked, usize)>, Broken> {
-    let Some((mut body, taken)) = message(bytes)? else {
-        // A type that no client may send is told before its body has come.
-        let known = bytes.first().is_none_or(|kind| b"QPBDECFHSX".contains(kind));
-        return if known { Ok(None) } else { Err(Broken::Type(char::from(bytes[0]))) };
-    };
+    let Some((mut body, taken)) = message(bytes, longest_asked)? else { return Ok(None) };
     let asked = match body.0 {
-        'Q' => Asked::Query(body.bytes()?.to_vec()),
+        'Q' => {
+            let text = body.bytes()?.to_vec();
+            body.end()?;
+            Asked::Query(text)
+        }
         'P' | 'B' | 'D' | 'E' | 'C' | 'F' | 'H' => Asked::Extended,
         'S' => Asked::Sync,
         'X' => Asked::Terminate,
@@ -171,28 +239,57 @@
 }
 
 pub fn told(bytes: &[u8]) -> Result<Option<(Told, usize)>, Broken> {
-    let Some((mut body, taken)) = message(bytes)? else { return Ok(None) };
+    let Some((mut body, taken)) = message(bytes, longest_told)? else {
+        // The head of a row says as much of its length as the message's own: it is not waited for in vain.
+        let fits = bytes.first() != Some(&b'D') || bytes.get(1..11).is_none_or(row_fits);
+        return if fits { Ok(None) } else { Err(Broken::Field('D')) };
+    };
     let told = match body.0 {
-        'R' => Told::Authentication(body.u32()?),
-        'S' => Told::Parameter { name: body.text()?, value: body.text()? },
+        'R' => {
+            let kind = body.u32()?;
+            return Ok(Some((Told::Authentication(kind), taken)));
+        }
+        // One that cannot be read takes nothing from the answer that it comes with.
+        'S' => match parameter(&mut body) {
+            Ok((name, value)) => Told::Parameter { name, value },
+            Err(_) => return Ok(Some((Told::Passing, taken))),
+        },
         'T' => {
-            let count = body.u16()?;
-            Told::Columns((0..count).map(|_| column(&mut body)).collect::<Result<_, _>>()?)
+            body.one()?;
+            Told::Column(column(&mut body)?)
         }
         'D' => {
-            let count = body.u16()?;
-            Told::Row((0..count).map(|_| value(&mut body)).collect::<Result<_, _>>()?)
+            body.one()?;
+            Told::Row(value(&mut body)?)
         }
         'C' => Told::Complete(body.bytes()?.to_vec()),
         'I' => Told::EmptyQuery,
         'E' => error_fields(&mut body)?,
-        'Z' => Told::Ready,
-        'N' | 'K' => Told::Passing,
+        'Z' => match body.take(1)? {
+            b"I" | b"T" | b"E" => Told::Ready,
+            _ => return Err(Broken::Field('Z')),
+        },
+        'N' | 'K' => return Ok(Some((Told::Passing, taken))),
         other => return Err(Broken::Type(other)),
     };
+    body.end()?;
     Ok(Some((told, taken)))
 }
 
+/// By the ten bytes behind a row's type, which hold three lengths.
+fn row_fits(head: &[u8]) -> bool {
+    let mut head = Body('D', head);
+    let (length, count, value) = (head.u32(), head.u16(), head.u32());
+    let value = value.map(|value| if value == u32::MAX { 0 } else { value as usize });
+    count == Ok(1) && length.ok().zip(value.ok()).is_some_and(|(of, value)| of as usize == ROW_HEAD + value)
+}
+
+fn parameter(body: &mut Body) -> Result<(String, String), Broken> {
+    let (name, value) = (body.text()?, body.text()?);
+    body.end()?;
+    Ok((name, value))
+}
+
 fn column(body: &mut Body) -> Result<Column, Broken> {
     let name = body.bytes()?.to_vec();
     body.take(6)?; // the table's and the column's number
@@ -212,6 +309,7 @@
     let (mut code, mut message, mut detail, mut fatal) = (String::new(), String::new(), None, false);
     loop {
         match body.take(1)?[0] {
+            0 if code.len() != 5 => return Err(Broken::Field('E')),
             0 => return Ok(Told::Error { code, message, detail, fatal }),
             // The severity that is never translated, or else the one for the eye.
             b'V' | b'S' => fatal |= matches!(body.bytes()?, b"FATAL" | b"PANIC"),
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -16,7 +16,7 @@
 use crate::config::Deployment;
 use crate::descriptors::{Descriptors, Parked, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
-use crate::pg::{self, Answer, Broken, Told};
+use crate::pg::{self, Broken, Said, Told};
 use crate::seldom::Seldom;
 use crate::statement::Statement;
 
@@ -196,7 +196,13 @@
                 Some(Err((None, _))) if !waited && !link.written => continue,
                 Some(Err((None, fault))) => {
                     log::debug!("{}: {fault}", node.0);
-                    (if link.written { Outcome::Reset } else { Outcome::ConnectFailed }, heard)
+                    let outcome = match (fault, link.written) {
+                        (_, false) => Outcome::ConnectFailed,
+                        (Fault::Broken(_), true) => Outcome::Spoilt,
+                        _ => Outcome::Reset,
+                    };
+                    // What an answer that breaks off has told is not believed.
+                    (outcome, Heard::default())
                 }
                 None => (if link.written { Outcome::TimedOut } else { Outcome::NotSent }, heard),
             };
@@ -207,7 +213,7 @@
     fn tell_reach(&self, node: NodeId, outcome: Outcome) {
         let out_of_reach = match outcome {
             Outcome::ConnectFailed | Outcome::Reset => true,
-            Outcome::Ok | Outcome::Miss | Outcome::Error | Outcome::Full => false,
+            Outcome::Ok | Outcome::Miss | Outcome::Error | Outcome::Full | Outcome::Spoilt => false,
             _ => return,
         };
         let mut nodes = self.nodes.borrow_mut();
@@ -235,31 +241,35 @@
         link.written = true;
         // It may be long, and the answer long in coming.
         drop(message);
-        let (mut outcome, mut column, mut value) = (None, None, None);
+        let (mut reading, mut outcome) = (pg::Reading::default(), None);
         loop {
-            match link.told().await.map_err(|fault| (outcome, fault))? {
+            // What comes behind a whole answer can cost the connection, but no longer the answer.
+            let told = link.told().await.map_err(|fault| (outcome, fault))?;
+            match told {
                 Told::Parameter { name, value } => self.note(&name, &value, heard),
-                Told::Columns(columns) => column = columns.into_iter().next(),
-                Told::Row(values) => value = values.into_iter().next(),
-                Told::Complete(tag) => {
-                    // Without a row there is nothing to pass on, though it has run.
-                    let row = column.take().zip(value.take());
-                    outcome = Some(if row.is_some() { Outcome::Ok } else { Outcome::Error });
-                    heard.answer = row.map(|(column, value)| Answer { column, value, tag });
-                }
-                Told::Error { code, message, fatal, .. } => {
-                    log::debug!("a node answered {code}: {message}");
-                    outcome = Some(match code.as_str() {
-                        "25006" | "72000" => Outcome::Miss,
-                        "53300" | "57P03" => Outcome::Full,
-                        _ => Outcome::Error,
-                    });
-                    if fatal {
-                        return Err((outcome, Fault::Ended));
+                Told::Passing => {}
+                Told::Ready => return outcome.ok_or((None, Broken::Order.into())),
+                told if outcome.is_none() => {
+                    match reading.take(told).map_err(|fault| (None, fault.into()))? {
+                        None => {}
+                        Some(Said::Value(answer)) => {
+                            outcome = Some(Outcome::Ok);
+                            heard.answer = Some(answer);
+                        }
+                        Some(Said::Error { code, message, fatal }) => {
+                            log::debug!("a node answered {code}: {message}");
+                            outcome = Some(match code.as_str() {
+                                "25006" | "72000" => Outcome::Miss,
+                                "53300" | "57P03" => Outcome::Full,
+                                _ => Outcome::Error,
+                            });
+                            if fatal {
+                                return Err((outcome, Fault::Ended));
+                            }
+                        }
                     }
                 }
-                Told::Ready => return outcome.ok_or((None, Fault::Broken(Broken::Type('Z')))),
-                Told::EmptyQuery | Told::Passing | Told::Authentication(_) => {}
+                _ => return Err((outcome, Broken::Order.into())),
             }
         }
     }
@@ -314,7 +324,12 @@
             // It goes on when its call-out has ended: what has been paid for serves the next.
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
             match Link::open(node, slot).or(late).await {
-                Ok(link) => pool.give_back(node, link),
+                Ok(link) if link.is_quiet() => pool.give_back(node, link),
+                Ok(_) => {
+                    // More than a greeting came, so nothing that follows could be told apart from an answer.
+                    log::debug!("{}: no connection: it says more than it was asked", node.0);
+                    pool.hand_out(node, Err(Outcome::ConnectFailed));
+                }
                 Err(fault) => {
                     log::debug!("{}: no connection: {fault}", node.0);
                     pool.hand_out(node, Err(Outcome::ConnectFailed));
--- a/router/tests/messages.rs
+++ b/router/tests/messages.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 use quillpoint_router::config::Launch;
 use quillpoint_router::directory::{self, Page, Reader};
-use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Told};
+use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Reading, Said, Told};
 use quillpoint_router::statement::Statement;
 
 /// The same runs every time.
@@ -49,8 +49,7 @@
                 told.push(message);
             }
             let Answer { column, value, tag } = answer;
-            out.is_empty()
-                && told == [Told::Columns(vec![column]), Told::Row(vec![value]), Told::Complete(tag)]
+            out.is_empty() && told == [Told::Column(column), Told::Row(value), Told::Complete(tag)]
         }) as fn(Vec<u8>, Option<Vec<u8>>, bool) -> bool,
     );
 }
@@ -71,6 +70,87 @@
     );
 }
 
+/// What is made of a node's bytes, as a router reads them: the first thing said, or why nothing can be.
+fn read(mut bytes: &[u8]) -> Result<Option<Said>, pg::Broken> {
+    let mut reading = Reading::default();
+    while let Some((told, taken)) = pg::told(bytes)? {
+        bytes = &bytes[taken..];
+        if matches!(told, Told::Parameter { .. } | Told::Passing) {
+            continue;
+        }
+        if let Some(said) = reading.take(told)? {
+            return Ok(Some(said));
+        }
+    }
+    Ok(None)
+}
+
+#[test]
+fn a_spoilt_answer_is_never_taken_for_one_with_other_lengths() {
+    check(
+        (|value: Vec<u8>, places: Vec<(usize, u8)>, cut: usize, extra: Vec<u8>| {
+            let column = Column { name: b"data".to_vec(), type_oid: 17, type_size: u16::MAX, binary: true };
+            let whole = Answer { column, value: Some(value), tag: b"SELECT 1".to_vec() };
+            let mut out = Vec::new();
+            pg::put_answer(&mut out, &whole);
+            assert_eq!(read(&out), Ok(Some(Said::Value(whole.clone()))));
+            // Whatever follows is no part of it.
+            let followed = [&out[..], &extra].concat();
+            assert_eq!(read(&followed), Ok(Some(Said::Value(whole.clone()))));
+            assert_eq!(read(&out[..cut % out.len()]), Ok(None));
+            let cut = cut % (out.len() + 1);
+            let longer = [&out[..cut], &extra, &out[cut..]].concat();
+            for (place, byte) in places {
+                let place = place % out.len();
+                out[place] = byte;
+            }
+            // What is still taken for an answer has a value of as many bytes as its row says.
+            let taken = |bytes: &[u8]| match read(bytes) {
+                Ok(Some(Said::Value(answer))) => {
+                    let mut again = Vec::new();
+                    pg::put_answer(&mut again, &answer);
+                    again.len() <= bytes.len() && again.len() >= answer.value.map_or(0, |value| value.len())
+                }
+                _ => true,
+            };
+            taken(&out) && taken(&longer)
+        }) as fn(Vec<u8>, Vec<(usize, u8)>, usize, Vec<u8>) -> bool,
+    );
+}
+
+#[test]
+fn what_is_no_answer_is_told_by_its_first_bytes() {
+    use pg::Broken::{Field, Length, Order, TooLong, Type};
+    let row = |length: u32, count: u16, value: u32| {
+        [b"T\0\0\0\x1d\0\x01data\0", &[0; 18][..], b"D", &length.to_be_bytes(), &count.to_be_bytes()]
+            .concat()
+            .into_iter()
+            .chain(value.to_be_bytes())
+            .collect::<Vec<u8>>()
+    };
+    assert_eq!(read(&row(15, 1, 5)), Ok(None));
+    for (bytes, fault) in [
+        (row(15, 1, 6), Field('D')),
+        (row(15, 2, 5), Field('D')),
+        (row(15, 1, u32::MAX), Field('D')),
+        (row(3 << 30, 1, 5), TooLong(3 << 30)),
+        (b"\x07".to_vec(), Type('\x07')),
+        (b"C\0\0\0\x02".to_vec(), Length(2)),
+        (b"Z\0\0\0\x06".to_vec(), TooLong(6)),
+        (b"Z\0\0\0\x05?".to_vec(), Field('Z')),
+        (b"E\0\0\0\x05\0".to_vec(), Field('E')),
+        (b"C\0\0\0\x0dSELECT 1\0".to_vec(), Order),
+        ([row(14, 1, 4), b"four".to_vec(), row(14, 1, 4), b"four".to_vec()].concat(), Order),
+        ([row(14, 1, 4), b"fourC\0\0\0\x0dSELECT 2\0".to_vec()].concat(), Order),
+    ] {
+        assert_eq!(read(&bytes), Err(fault), "{bytes:?}");
+    }
+    // A parameter that cannot be read is passed over, and the answer stands.
+    let parameter = b"S\0\0\0\x0aload\0\xff".to_vec();
+    let whole = [row(14, 1, 4), b"four".to_vec(), parameter, b"C\0\0\0\x0dSELECT 1\0".to_vec()].concat();
+    assert!(matches!(read(&whole), Ok(Some(Said::Value(_)))));
+}
+
 /// Bytes near enough to a message that decoders get past its head.
 #[derive(Clone, Debug)]
 struct Mangled(Vec<u8>);
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -100,6 +100,50 @@
     assert!(matches!(router.client().rpc("look", 300), Reply::Error(..)));
 }
 
+#[test]
+fn a_spoilt_answer_is_a_failed_call_out_that_has_run() {
+    let nodes = [true, false, false].map(Node::start);
+    let [primary, spoils, other] = &nodes;
+    let (router, _discovery) =
+        Running::among(&[(primary, "primary"), (spoils, "replica"), (other, "replica")]);
+    let mut client = router.client();
+    // Noise, a type and a length that cannot be, a row of 3 GB that never ends, a row whose field is longer.
+    let kinds: [&'static [u8]; 5] = [
+        b"\x9f\x03\x77",
+        b"T\0\0\0\x02",
+        b"D\xc0\0\0\0\0\x01\xbf\xff\xff\xf0zzzz",
+        b"T\0\0\0\x1d\0\x01data\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01D\0\0\0\x0e\0\x01\0\0\0\x09four",
+        b"C\0\0\0\x0dSELECT 1\0Z\0\0\0\x05I",
+    ];
+    for kind in kinds {
+        spoils.set(Does::Says(kind));
+        primary.set(Does::Says(kind));
+        let [writes, spoilt] = [primary, spoils].map(|node| node.queries().len());
+        // Its share falls, but it is not shut out, and another node is asked in its place.
+        let reached = (0..200).any(|_| {
+            assert_eq!(client.rpc("recent", 9000), ok(), "{kind:?}");
+            spoils.queries().len() > spoilt
+        });
+        assert!(reached, "{kind:?}");
+        assert_eq!(client.rpc("enter", 9000), error("08P01"), "aborted, not pushed back");
+        let entered = |text: &String| text.contains("INSERT");
+        let sent = primary.queries().into_iter().skip(writes).filter(entered).count();
+        assert_eq!(sent, 1, "it has run, so it is not sent again");
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_costs_the_connection_alone() {
+    let (_, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    let second: &'static [u8] = b"T\0\0\0\x1d\0\x01data\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01D\0\0\0\x0e\0\x01\0\0\0\x04four";
+    for (does, connections) in [(Does::Adds(second), 10), (Does::Adds(b"\xff"), 20), (Does::Misreports, 21)] {
+        replica.set(does);
+        assert!((0..10).all(|_| client.rpc("look", 9000) == ok()), "{does:?}");
+        assert_eq!(count(&replica.connections), connections, "{does:?}");
+    }
+}
+
 #[test]
 fn a_call_out_outlives_the_client_that_left_and_its_connection_serves_on() {
     let (_, replica, router, _discovery) = pair();
--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -34,6 +34,12 @@
     Closes,
     /// Answers half of a value, and closes the connection.
     Halves,
+    /// Answers with these bytes and leaves the connection open.
+    Says(&'static [u8]),
+    /// Answers, with these bytes behind ReadyForQuery.
+    Adds(&'static [u8]),
+    /// Answers, with a load report that cannot be read.
+    Misreports,
 }
 
 /// What a node does with new connections.
@@ -172,6 +178,7 @@
                 _ if misplaced => pg::put_error(&mut out, false, "25006", "this is a replica", None),
                 Does::Breaks => return,
                 Does::Errs(code) => pg::put_error(&mut out, false, code, "as told", None),
+                Does::Says(bytes) => out.extend(bytes),
                 _ => pg::put_answer(&mut out, &answer(VALUE)),
             }
             if does == Does::Halves {
@@ -180,8 +187,11 @@
             }
             parameter(&mut out, "role", role);
             parameter(&mut out, "applied_ms", &now.to_string());
-            parameter(&mut out, "load", &load);
+            parameter(&mut out, "load", if does == Does::Misreports { "x0=?,,=" } else { &load });
             pg::put_ready(&mut out);
+            if let Does::Adds(bytes) = does {
+                out.extend(bytes);
+            }
             if stream.write_all(&out).is_err() || does == Does::Closes {
                 return;
             }
@@ -455,7 +465,7 @@
         loop {
             match self.told() {
                 None => return reply,
-                Some(Told::Row(values)) => reply = Reply::Value(values[0].clone().unwrap()),
+                Some(Told::Row(value)) => reply = Reply::Value(value.unwrap()),
                 Some(Told::EmptyQuery) => reply = Reply::Empty,
                 Some(Told::Error { code, detail, .. }) => reply = Reply::Error(code, detail),
                 Some(Told::Ready) if reply != Reply::Gone => return reply,
--- a/src/host.rs
+++ b/src/host.rs
@@ -123,6 +123,8 @@
     Cancelled,
     /// Never left the router.
     NotSent,
+    /// An answer came of which nothing can be made. It has run.
+    Spoilt,
     /// Turned away untouched: a write at a replica, or a read the node is too far behind for.
     Miss,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -394,7 +394,7 @@
     }
 
     fn learn(&mut self, now: Duration, end: &CallEnd) {
-        use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, TimedOut};
+        use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Spoilt, TimedOut};
         let connect = self.values.span("allowed.connect_time_out").unwrap_or(Duration::MAX);
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
@@ -407,7 +407,7 @@
         let rests = end.outcome == Full || (refused && now < self.squeezed);
         member.rests_until = if rests { now + HOLD } else { member.rests_until };
         match end.outcome {
-            Ok | Error | Full | Miss => (member.missed, member.shut) = (0.0, false),
+            Ok | Error | Full | Miss | Spoilt => (member.missed, member.shut) = (0.0, false),
             _ if rests => {}
             // Guards against a dead process or a cut link: a probe decides before more is lost there. A reset
             // may be no more than a lost answer; a process that is gone fails the next connect.
