Told to stop, a router serves its clients on and lets go of them bit by bit

Ruled out: SIGHUP (lists came within 0.4 s of it), lost RPCs (none). Now sessions go on and are closed evenly until the shortest deadline before the end, 0.4 s before the kill.

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -139,12 +139,22 @@
         self.executor.spawn(task).detach();
     }
 
+    /// The open sessions, the oldest first.
+    pub fn sessions(&self) -> Vec<u64> {
+        self.open.borrow().keys().copied().collect()
+    }
+
+    /// Closes a session as soon as it is idle.
+    pub fn close(&self, session: u64) {
+        if let Some(close) = self.open.borrow().get(&session) {
+            _ = close.try_send(());
+        }
+    }
+
     /// From now on each session is closed as soon as it is idle.
     pub fn drain(&self) {
         self.draining.set(true);
-        for close in self.open.borrow().values() {
-            _ = close.try_send(());
-        }
+        self.sessions().into_iter().for_each(|session| self.close(session));
     }
 
     pub fn open_sessions(&self) -> usize {
--- a/router/src/drain.rs
+++ b/router/src/drain.rs
@@ -2,29 +2,54 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 
 use crate::client::Clients;
+use crate::engine::Engine;
 
 /// The front sends new connections for up to 0.4 s after SIGTERM; this is that and a margin.
 const STILL_SENT_TO: Duration = Duration::from_millis(500);
+/// A router that was told to stop is killed so long after the longest deadline (at most the one below), less a
+/// margin in which to end.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+const MARGIN: Duration = Duration::from_millis(400);
 /// How often it is looked whether all is answered.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// Answers all that is held, and takes nothing new once the front has turned away. Ends when nothing is held.
+/// Goes on serving the clients that it has for as long as it may, and lets go of them bit by bit: the routers
+/// that take them over then see their load grow, and not leap, and for no longer than a restart must take.
+/// Ends when no session is left.
 pub async fn drain<T>(
     clients: &Rc<Clients>,
+    engine: &Engine,
     listener: Rc<Async<TcpListener>>,
     accepting: async_executor::Task<T>,
 ) {
+    let told = Instant::now();
+    let (shortest, longest) = engine.deadlines();
+    let end = told + longest.min(LONGEST_WAIT) + KILLED_AFTER - MARGIN;
+    engine.end_by(end);
     Timer::after(STILL_SENT_TO).await;
     accepting.cancel().await;
     clients.accept_rest(&listener).await;
     drop(listener);
-    clients.drain();
+    // An RPC that comes later than this would have too little time left.
+    let (start, all_closed) = (Instant::now(), end - shortest);
+    let sessions = clients.sessions();
+    log::info!("no new sessions are taken, {} sessions go on", sessions.len());
+    let mut closed = 0;
     while clients.open_sessions() > 0 {
+        let span = all_closed.saturating_duration_since(start).max(LOOK);
+        let part = start.elapsed().div_duration_f64(span).min(1.0);
+        let due = (sessions.len() as f64 * part).ceil() as usize;
+        sessions[closed..due].iter().for_each(|session| clients.close(*session));
+        closed = due;
+        if part >= 1.0 {
+            clients.drain();
+        }
         Timer::after(LOOK).await;
     }
 }
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -178,6 +178,8 @@
     methods: Vec<Known>,
     next_rpc: Cell<u64>,
     listed: Cell<bool>,
+    /// When the router ends, once it has been told to.
+    ends: Cell<Option<Duration>>,
 }
 
 /// Where the module's work for others arrives.
@@ -212,8 +214,8 @@
             rearmed: Event::new(),
         });
         let router = RefCell::new(Router::new(Hand(Rc::clone(&desk)), seed, values, clock.now()));
-        let (next_rpc, listed) = (Cell::new(0), Cell::new(false));
-        let engine = Self { clock, desk, router, methods, next_rpc, listed };
+        let (next_rpc, listed, ends) = (Cell::new(0), Cell::new(false), Cell::new(None));
+        let engine = Self { clock, desk, router, methods, next_rpc, listed, ends };
         (Rc::new(engine), Work { chores: chores_in, list: list_in })
     }
 
@@ -259,6 +261,18 @@
         self.methods.iter().position(|known| known.name == name).map(MethodId)
     }
 
+    /// The shortest deadline of a method, and the longest.
+    pub fn deadlines(&self) -> (Duration, Duration) {
+        let deadlines = || self.methods.iter().map(|known| known.deadline);
+        (deadlines().min().unwrap_or_default(), deadlines().max().unwrap_or_default())
+    }
+
+    /// No RPC that comes from now on is waited for any longer.
+    pub fn end_by(&self, end: Instant) {
+        let left = end.saturating_duration_since(Instant::now());
+        self.ends.set(Some(self.clock.now() + left));
+    }
+
     /// The RPC's id, and where its orders arrive.
     pub fn rpc_arrived(&self, method: MethodId, statement: &Statement) -> (RpcId, Receiver<Order>) {
         let (mailbox, orders) = async_channel::unbounded();
@@ -267,7 +281,8 @@
         self.next_rpc.set(id.0 + 1);
         let now = self.clock.now();
         let known = &self.methods[method.0];
-        let remaining = statement.wait.min(known.deadline);
+        let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
+        let remaining = statement.wait.min(known.deadline).min(left);
         let size = statement.size();
         self.desk.size.set(self.desk.size.get() + size);
         let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None, size };
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -52,7 +52,7 @@
     let (stop, stopped) = async_channel::bounded(1);
     executor.spawn(signals::obey(signals, launch, reread, moves, stop)).detach();
     _ = stopped.recv().await;
-    drain::drain(&clients, listener, accepting).await;
+    drain::drain(&clients, &engine, listener, accepting).await;
     drop(listener_slot);
     log::info!("drained");
     Ok(())
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -289,6 +289,25 @@
     assert!(router.ended().success());
 }
 
+#[test]
+fn a_router_that_is_told_to_stop_serves_its_clients_on_and_lets_go_of_them_bit_by_bit() {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let text = configuration(&discovery, &list, 200).replacen("9000.0", "500.0", 1);
+    let mut router = Running::start(&text);
+    let mut clients: Vec<Client> = (0..20).map(|_| router.client()).collect();
+    assert!(clients.iter_mut().all(|client| client.rpc("look", 500) == ok()));
+    router.signal("-TERM");
+    router.await_line("20 sessions go on");
+    assert!(std::net::TcpStream::connect(router.address).is_err());
+    let replies: Vec<Reply> = clients.iter_mut().map(|client| client.try_rpc("look", 500)).collect();
+    let served = replies.iter().filter(|reply| **reply == ok()).count();
+    assert!(served > 0 && replies.iter().all(|reply| [ok(), Reply::Gone].contains(reply)), "{replies:?}");
+    assert!(router.ended().success());
+    assert!(clients.iter_mut().all(|client| client.told().is_none()));
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_of_the_list_and_ends_nothing() {
     let nodes = [true, false, false].map(Node::start);
--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -474,6 +474,12 @@
         }
     }
 
+    /// The same on a connection that may have been closed.
+    pub fn try_rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
+        let sent = self.stream.write_all(&pg::query(statement(class, wait_ms).as_bytes()));
+        sent.map_or(Reply::Gone, |()| self.reply())
+    }
+
     pub fn rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
         self.ask(&statement(class, wait_ms));
         self.reply()
