Limits heed the queue that a node reports; time-outs no longer shorten the mean

Writes at the primary (limit 2, 94 ms each, 44 a second) then waited for seconds, 125 RPCs were held, and clients ran out of connections (1,230 RPCs not taken). Two causes in learn(): the pace is taken against the shortest mean, which fell from 33 to 23 ms in the change of primary, partly because reads that had waited end in time only if they are short; and a new primary's writes take 94 ms instead of 51, which is no queue. Picking by the square of the pace beside it: no help.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
 const WEIGHT: f64 = 0.05; // of one answer: some twenty make up a node's present answer time
 const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
+const UNQUEUED: f64 = 2.0; // the same where the node itself says that nothing waits there
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 10.0;
 const LEAST_LIMIT: f64 = 6.0;
@@ -324,7 +325,7 @@
         let passed = now.saturating_sub(self.swept).as_secs_f64();
         self.swept = now;
         let mut kinds: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for member in self.members.values().filter(|member| self.open(member)) {
+        for member in self.members.values().filter(|member| member.is_open()) {
             let sum = kinds.entry(member.kind).or_default();
             (sum.0, sum.1) = (sum.0 + member.carried, sum.1 + 1.0);
         }
@@ -387,7 +388,7 @@
     /// with many routers most would age unread: two at random, or all where nobody has been heard yet.
     fn probe_for(&mut self, now: Duration, mut nodes: Vec<NodeId>) {
         let due = |member: &Member| member.heard.unwrap_or_default() + self.tightest / 2 <= now;
-        nodes.retain(|node| self.open(&self.members[node]) && due(&self.members[node]));
+        nodes.retain(|node| self.members[node].is_open() && due(&self.members[node]));
         let few = if nodes.iter().all(|node| self.members[node].heard.is_none()) { nodes.len() } else { 2 };
         let asked: Vec<NodeId> = nodes.sample(&mut self.chance, few).copied().collect();
         asked.into_iter().for_each(|node| self.probe(node));
@@ -425,13 +426,18 @@
             if !matches!(end.outcome, Miss | NotSent | Cancelled) {
                 member.good += (f64::from(u8::from(end.outcome == Ok)) - member.good) * WEIGHT;
             }
+            // Guards against a jam that feeds itself: of RPCs that have waited here long, only the short ones end
+            // in time, and nodes seem slow beside those. A time-out counts as its time and the mean on top.
+            let took = took + if end.outcome == TimedOut { method.present } else { 0.0 };
             if matches!(end.outcome, Ok | TimedOut) && !lost {
                 member.answers += 1.0;
                 let weight = WEIGHT.max(1.0 / (member.answers + 1.0));
                 member.pace += (took / method.shortest - member.pace) * weight;
                 let zone = self.zones.entry(member.zone).or_insert(1.0);
                 *zone += (took / method.shortest - *zone) * WEIGHT;
-                let ratio = (TOLERANCE / member.pace.max(0.1)).clamp(0.5, 1.0);
+                // Guards against taking for a queue what is none, as a primary that waits for its replicas.
+                let most = if member.queue.is_some_and(|queue| queue < 0.5) { UNQUEUED } else { TOLERANCE };
+                let ratio = (most / member.pace.max(0.1)).clamp(0.5, 1.0);
                 member.limit += (member.limit * (ratio - 1.0) + 1.0 / self.routers) * WEIGHT;
             }
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
@@ -440,8 +446,9 @@
             let rests = if lost { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
             let rest = end.took.mul_f64(rests).min(LONGEST_REST);
             member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
-            if end.outcome == Ok {
-                member.carried += method.shortest / CARRIED_OVER;
+            let carried = if end.outcome == Ok { method.shortest / CARRIED_OVER } else { 0.0 };
+            member.carried += carried;
+            if end.outcome == Ok || (end.outcome == TimedOut && !lost) {
                 method.present += (took - method.present) * WEIGHT;
                 method.span.1 += took;
                 method.span.2 += 1.0;
@@ -474,7 +481,9 @@
 
     /// A report is old: the position in it is the least age that its word on the role can have.
     fn note_report(&mut self, now: Duration, node: NodeId, report: Option<&Report>) {
-        let Some((report, Some(position))) = report.map(|report| (report, report.position)) else { return };
+        let (Some(report), Some(member)) = (report, self.members.get_mut(&node)) else { return };
+        member.queue = report.waiting;
+        let Some(position) = report.position else { return };
         self.note_position(now, node, position);
         if let Some(primary) = report.primary {
             let role = if primary { Role::Primary } else { Role::Replica };
@@ -631,7 +640,7 @@
         let checked = self.values.text("replication.read_check") != "none";
         let (mut passing, mut room, mut ask) = (false, Vec::new(), Vec::new());
         for (node, member) in group.members.iter().map(|node| (*node, &self.members[node])) {
-            if Some(node) == primary || !self.open(member) || held.tried(node) {
+            if Some(node) == primary || !member.is_open() || held.tried(node) {
                 continue;
             }
             let proven = self.is_current(now, held, node);
@@ -694,16 +703,8 @@
         Pick::Wait
     }
 
-    fn open(&self, member: &Member) -> bool {
-        !(member.stopped || member.shut)
-    }
-
-    fn in_flight(&self, now: Duration, member: &Member) -> f64 {
-        member.out.iter().filter(|out| !out.is_lost(now)).count() as f64
-    }
-
     fn has_room(&self, now: Duration, member: &Member) -> bool {
-        self.open(member) && member.rests_until <= now && self.in_flight(now, member) < member.limit
+        member.is_open() && member.rests_until <= now && member.in_flight(now) < member.limit
     }
 
     /// Which line it waits in: further call-outs, and what is past a tenant's share, in the second.
@@ -726,7 +727,7 @@
         // Guards against nodes that fail fast, by share and not by a limit: what fails everywhere alike, as
         // bad RPCs do, costs no node its share.
         let part = member.warmth * member.good * member.good * self.nearness(member).powi(4);
-        if self.has_room(now, member) { part * (member.limit - self.in_flight(now, member)) } else { 0.0 }
+        if self.has_room(now, member) { part * (member.limit - member.in_flight(now)) } else { 0.0 }
     }
 
     /// Whether rule 5 lets this node answer this read: by a position that was told, or by being the primary.
@@ -754,15 +755,11 @@
         }
         // Rule 2: what may have run is repeated only as its method allows.
         let method = &self.methods[held.rpc.method.0];
-        let drops = |scope, earlier: &Member| match scope {
-            Scope::All => true,
-            Scope::Zone => earlier.zone == member.zone,
-            Scope::Group => earlier.group == member.group,
-        };
         let may_repeat = |call: &Call| match method.repeats {
             Repeats::Always => true,
             Repeats::Tokened(scope, window) => {
-                now < call.sent + window && self.members.get(&call.node).is_some_and(|m| drops(scope, m))
+                now < call.sent + window
+                    && self.members.get(&call.node).is_some_and(|m| scope.holds(m, member))
             }
             Repeats::Never => false,
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,17 @@
     Group,
 }
 
+impl Scope {
+    /// Whether the one drops what the other has run.
+    pub fn holds(self, one: &Member, other: &Member) -> bool {
+        match self {
+            Self::All => true,
+            Self::Zone => one.zone == other.zone,
+            Self::Group => one.group == other.group,
+        }
+    }
+}
+
 /// What the settings say of a method, and what its answers have shown.
 pub(crate) struct Method {
     pub need: Need,
@@ -71,6 +82,8 @@
     /// Not sent to until it is heard again.
     pub shut: bool,
     pub probing: bool,
+    /// How many wait there, as it last said, where it says that.
+    pub queue: Option<f64>,
     /// Connections refused since the last answer.
     pub refused: u32,
     /// Probes that have failed in a row.
@@ -85,6 +98,15 @@
     pub credit: f64,
 }
 
+impl Member {
+    pub fn is_open(&self) -> bool {
+        !(self.stopped || self.shut)
+    }
+    pub fn in_flight(&self, now: Duration) -> f64 {
+        self.out.iter().filter(|out| !out.is_lost(now)).count() as f64
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Group {
     pub members: BTreeSet<NodeId>,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -311,6 +311,46 @@
     assert!(late < 6, "{late} of 60");
 }
 
+/// So many rounds of each answer time and outcome.
+fn play(stage: &mut Stage, method: usize, rounds: usize, answers: &[(u64, Outcome)]) {
+    for (took, outcome) in answers.repeat(rounds) {
+        stage.took = Some((ms(took), ms(took)));
+        let id = stage.arrive(method, LONG, None);
+        stage.pass(ms(took));
+        stage.end(id, outcome);
+        stage.pass(ms(10));
+    }
+}
+
+/// How many of 60 are let out at once.
+fn let_out(stage: &mut Stage, method: usize) -> usize {
+    let ids: Vec<RpcId> = (0..60).map(|_| stage.arrive(method, LONG, None)).collect();
+    ids.iter().filter(|id| !stage.sent_to(**id).is_empty()).count()
+}
+
+#[test]
+fn time_outs_do_not_make_the_answers_that_are_left_seem_short() {
+    // RPCs that waited here time out unless they are short: the node is as quick as ever.
+    let mut stage = stage(2, 0, &[]);
+    play(&mut stage, 1, 200, &[(10, Outcome::Ok), (20, Outcome::TimedOut)]);
+    let out = let_out(&mut stage, 1);
+    assert!(out >= 10, "{out}");
+}
+
+#[test]
+fn a_node_that_says_nothing_waits_there_keeps_its_limit() {
+    let out = |queue, took| {
+        let mut stage = stage(2, 0, &[]);
+        play(&mut stage, 4, 150, &[(10, Outcome::Ok)]);
+        stage.queue = queue;
+        play(&mut stage, 4, 100, &[(took, Outcome::Ok)]);
+        let_out(&mut stage, 4)
+    };
+    // As when a new primary waits longer for its replicas; a node that is twice as slow is slow all the same.
+    assert!(out(Some(0.0), 18) >= 10, "{}", out(Some(0.0), 18));
+    assert!([out(Some(4.0), 18), out(None, 18), out(Some(0.0), 40)].iter().all(|out| *out < 8));
+}
+
 #[test]
 fn no_jam_is_held_against_a_node_for_long() {
     // Many routers, and answers that took seconds in a jam: the rest after them was minutes.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -177,6 +177,8 @@
     pub primary: NodeId,
     /// How long answers of even and of odd nodes take; 10 ms where it is not said.
     pub took: Option<(Duration, Duration)>,
+    /// How many wait at each node, as answers report it.
+    pub queue: Option<f64>,
     next: u64,
 }
 
@@ -213,7 +215,7 @@
         books.0.borrow_mut().now = ms(100_000);
         books.0.borrow_mut().values = settings(change);
         let router = Router::new(books.clone(), seed, settings(change), ms(100_000));
-        let mut stage = Self { books, router, primary: node(1), took: None, next: 0 };
+        let mut stage = Self { books, router, primary: node(1), took: None, queue: None, next: 0 };
         let list: Vec<Listed> = (1..=nodes).map(|number| stage.listed(number, Condition::Healthy)).collect();
         stage.list(Extent::Remembered, &list);
         stage
@@ -327,7 +329,8 @@
         drop(world);
         let role = spoke.then_some(role);
         let call = CallNo(place as u32);
-        let end = CallEnd { rpc: id, call, node, outcome, finished, took, role, position, report: None };
+        let report = self.queue.map(|queue| Report { waiting: Some(queue), ..Report::default() });
+        let end = CallEnd { rpc: id, call, node, outcome, finished, took, role, position, report };
         self.router.call_ended(now, end);
     }
 
