--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
 const WEIGHT: f64 = 0.05; // of one answer: some twenty make up a node's present answer time
 const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
+const IN_USE: f64 = 0.7; // the part of a limit that must be in use for it to grow
 const UNQUEUED: f64 = 2.0; // the same where the node itself says that nothing waits there
 /// What all routers together start with at a node, and the least they keep, or one each where they are few.
 const FIRST_LIMIT: f64 = 10.0;
@@ -46,9 +47,7 @@
 /// So many rests may be saved up, as RPCs come in clumps. One rest after a jam must not outlast it by much.
 const RESTS_SAVED: u32 = 3;
 const LONGEST_REST: Duration = millis(10_000);
-/// Past this multiple of the shortest, the answer times of all nodes together lengthen the rests, by its
-/// square: one of many routers sees too few answers of a node to tell in time.
-const CROWDED: f64 = 1.5;
+const CROWDED: f64 = 1.5; // of the shortest; past it, the pace of all lengthens the rests, by its square
 /// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
 const SHORTEST_SPAN: Duration = millis(2000);
 const SHORTEST_FORGETS: f64 = 1.02;
@@ -62,8 +61,7 @@
 const UNSENT: f64 = 0.45;
 const SURE: f64 = 20.0; // so many more tries must have waited alike before another is taken for a repeat
 const CARRIED_OVER: f64 = 2.0; // seconds over which about what a node carries is counted
-/// At least so many call-outs of all routers together to a cold node in the span over which it may be
-/// overloaded, and no more saved up than such a part of the span allows.
+/// All routers' least call-outs to a cold node in the overload span; the part of the span that is saved up.
 const COLD_FLOOR: f64 = 4.0;
 const ASK_AGAIN: Duration = millis(300); // after a failure of the list; then twice as long each time
 
@@ -213,8 +211,7 @@
     pub fn rpc_arrived(&mut self, now: Duration, rpc: Rpc) {
         let (id, group_id) = (rpc.id, rpc.group);
         let Some(method) = self.methods.get_mut(rpc.method.0) else { return self.host.abort(id) };
-        // Guards against serving repeats too late to be of use. Most tries are first ones, and clients wait
-        // alike for those; another time left is what remains of the whole deadline.
+        // Guards against serving repeats too late. Most tries are first ones, for which clients wait alike.
         let (usual, votes) = method.first_try;
         let first = rpc.remaining.abs_diff(usual) < method.deadline / 50;
         let vote = if first { 1.0 } else { -1.0 };
@@ -271,8 +268,7 @@
         (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
-            // Guards against a shortage of connections: a node that is up and refused one has none left. For
-            // a while each is given back when it is done with, as many routers share them.
+            // Guards against a shortage: a node that is up and refuses has no connection left. Each goes back.
             if member.refused > 0 {
                 self.squeezed = now + SQUEEZED;
                 self.members.keys().for_each(|node| self.host.close_idle(*node));
@@ -340,14 +336,12 @@
             let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
             let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
             member.warmth = from + (1.0 - from) * part;
-            // What a cold node may be sent: what nodes of its kind carry in the mean for this router, which
-            // leaves margin, times that part, times the permitted multiple, and evenly. The first call-outs
-            // of many routers are spread by chance (see `list_changed`).
+            // What a cold node may be sent, evenly: what nodes of its kind carry in the mean for this router,
+            // which leaves margin, times that part and the permitted multiple (see also `list_changed`).
             let (sum, count) = kinds.get(&member.kind).copied().unwrap_or((0.0, 1.0));
             let rate = (sum / count * member.warmth * multiple).max(COLD_FLOOR * work / span / self.routers);
             member.credit = (member.credit + rate * passed).min(rate * span / COLD_FLOOR);
-            // Guards against a node that hangs, dies or is cut off without a word: when the answers that are
-            // due stay away for longer than chance allows, nothing more is sent until it is heard again.
+            // Guards against a node that hangs or is cut off: answers that are due stay away beyond chance.
             let due = member.out.iter().filter(|out| !out.is_lost(now)).map(|out| 1.0 / out.expected);
             member.missed += passed * due.sum::<f64>();
             member.shut |= member.missed > SILENT;
@@ -410,8 +404,7 @@
         match end.outcome {
             Ok | Error | Full | Miss | Spoilt => (member.missed, member.shut) = (0.0, false),
             _ if rests => {}
-            // Guards against a dead process or a cut link: a probe decides before more is lost there. A reset
-            // may be no more than a lost answer; a process that is gone fails the next connect.
+            // Guards against dead processes and cut links: a probe decides. A reset may be a lost answer only.
             ConnectFailed => member.shut = true,
             _ => {}
         }
@@ -438,7 +431,9 @@
                 // Guards against taking for a queue what is none, as a primary that waits for its replicas.
                 let most = if member.queue.is_some_and(|queue| queue < 0.5) { UNQUEUED } else { TOLERANCE };
                 let ratio = (most / member.pace.max(0.1)).clamp(0.5, 1.0);
-                member.limit += (member.limit * (ratio - 1.0) + 1.0 / self.routers) * WEIGHT;
+                // It grows only while it is used: a burst must not find limits that no answer time has tried.
+                let used = f64::from(u8::from(member.in_flight(now) + 1.0 >= member.limit * IN_USE));
+                member.limit += (member.limit * (ratio - 1.0) + used / self.routers) * WEIGHT;
             }
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
             // Guards against many routers with one in flight each: below one, the node rests between two.
@@ -531,8 +526,7 @@
         if held.calls.len() >= self.call_outs || (never && held.may_have_run().next().is_some()) {
             return self.finish(id, Duration::ZERO);
         }
-        // Guards against RPCs that are bad in themselves: errors at two nodes are no node's fault. The client
-        // is told to come back late.
+        // Guards against RPCs that are bad in themselves: errors at two nodes are no node's fault.
         if held.calls.iter().filter(|call| call.outcome == Some(Outcome::Error)).count() >= ERRORS {
             return self.finish(id, self.values.span("allowed.longest_retry_after").unwrap_or_default());
         }
@@ -644,8 +638,7 @@
                 continue;
             }
             let proven = self.is_current(now, held, node);
-            // Guards against a flood of misses while all lag: where nodes check, an entry that has only aged
-            // is tried if the node would pass at an even pace since it was heard.
+            // Guards against floods of misses: where nodes check, an aged entry is tried if an even pace passes.
             let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             let weight = self.room(now, member);
             if !(proven || checked && pace >= self.needed_position(now, held)) {
@@ -661,8 +654,7 @@
         if room.iter().any(|(proven, _, _)| *proven) {
             room.retain(|(proven, _, _)| *proven);
         }
-        // Guards against long reads that keep replicas from applying the log: one that takes much of the
-        // bound goes to the last member in sorted order, alike at all routers, and the rest keep up.
+        // Guards against long reads that keep replicas from applying the log: all go to the last member.
         let method = &self.methods[held.rpc.method.0];
         if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
             room.drain(..room.len().saturating_sub(1));
@@ -724,8 +716,7 @@
 
     /// Free room at a node, as a weight for the pick.
     fn room(&self, now: Duration, member: &Member) -> f64 {
-        // Guards against nodes that fail fast, by share and not by a limit: what fails everywhere alike, as
-        // bad RPCs do, costs no node its share.
+        // Guards against nodes that fail fast, by share: what fails everywhere alike costs none its share.
         let part = member.warmth * member.good * member.good * self.nearness(member).powi(4);
         if self.has_room(now, member) { part * (member.limit - member.in_flight(now)) } else { 0.0 }
     }
@@ -789,8 +780,7 @@
         let method = &self.methods[held.rpc.method.0];
         let (call, expected) =
             (CallNo(held.calls.len() as u32), method.present.max(1e-3) * member.pace.max(1.0));
-        // Guards against a node that loses some call-outs and answers the rest: the lost would fill its limit
-        // until the last time-out, which for a write is seconds.
+        // Guards against a node that loses some call-outs: they would fill its limit until they time out.
         let lost_at = now + Duration::from_secs_f64(LOST * expected);
         member.out.push(Out { rpc: id, call, expected, lost_at });
         member.credit -= method.shortest;
