--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -74,8 +74,13 @@
     /// Whether it was last found out of reach, as the log has it.
     out_of_reach: bool,
     told: Seldom,
+    /// When something was last asked of it. Long after that nothing is kept of it.
+    asked: Option<Instant>,
 }
 
+/// So many times what a node keeps an idle connection for: its own restart is over by then, or it is gone.
+const KEPT: u32 = 10;
+
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     descriptors: Rc<Descriptors>,
@@ -136,9 +141,11 @@
             let oldest = self.nodes.borrow().values().filter_map(|node| Some(node.idle.first()?.since)).min();
             let next = oldest.unwrap_or_else(Instant::now) + self.idle_time;
             Timer::at(next).await;
-            for node in self.nodes.borrow_mut().values_mut() {
+            self.nodes.borrow_mut().retain(|_, node| {
                 node.idle.retain(|idle| idle.since.elapsed() < self.idle_time);
-            }
+                let asked = node.asked.is_some_and(|asked| asked.elapsed() < self.idle_time * KEPT);
+                asked || !node.idle.is_empty() || !node.waiting.is_empty()
+            });
         }
     }
 
@@ -313,7 +320,7 @@
     /// A connection for one call-out: its own, or one that is given back earlier.
     async fn lend(self: &Rc<Self>, node: NodeId) -> Lent {
         let (lender, lent) = async_channel::bounded(1);
-        self.nodes.borrow_mut().entry(node).or_default().waiting.push_back(lender);
+        self.wait(node, lender);
         let pool = Rc::clone(self);
         let open = async move {
             // A shortage of sockets here is no fault of the node's, so that its time runs from then on.
@@ -340,6 +347,13 @@
         lent.recv().await.unwrap_or(Err(Outcome::NotSent))
     }
 
+    fn wait(&self, node: NodeId, lender: Sender<Lent>) {
+        let mut nodes = self.nodes.borrow_mut();
+        let entry = nodes.entry(node).or_default();
+        entry.asked = Some(Instant::now());
+        entry.waiting.push_back(lender);
+    }
+
     fn is_awaited(&self, node: NodeId) -> bool {
         let mut nodes = self.nodes.borrow_mut();
         let waiting = &mut nodes.entry(node).or_default().waiting;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,39 +30,35 @@
 }
 
 const HOLD: Duration = millis(50); // how long a read may wait for the record to name a replica (design)
-/// The share of a group's reads that may go to its primary (the design's), and how many may be saved up.
-const PRIMARY_SHARE: f64 = 0.1;
-const PRIMARY_SAVED: f64 = 10.0;
+const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
+const PRIMARY_SAVED: f64 = 10.0; // so many of them may be saved up
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
 const WEIGHT: f64 = 0.05; // of one answer: some twenty make up a node's present answer time
 const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
-const IN_USE: f64 = 0.7; // the part of a limit that must be in use for it to grow
 const UNQUEUED: f64 = 2.0; // the same where the node itself says that nothing waits there
-/// What all routers together start with at a node, and the least they keep, or one each where they are few.
-const FIRST_LIMIT: f64 = 10.0;
-const LEAST_LIMIT: f64 = 6.0;
-/// So many rests may be saved up, as RPCs come in clumps. One rest after a jam must not outlast it by much.
-const RESTS_SAVED: u32 = 3;
-const LONGEST_REST: Duration = millis(10_000);
+const IN_USE: f64 = 0.7; // the part of a limit that must be in use for it to grow
+const FIRST_LIMIT: f64 = 10.0; // at a node, of all routers together
+const LEAST_LIMIT: f64 = 6.0; // the same at the least, or one each where they are few
+const RESTS_SAVED: u32 = 3; // as RPCs come in clumps
+const LONGEST_REST: Duration = millis(10_000); // after a jam, which one rest must not outlast by much
 const CROWDED: f64 = 1.5; // of the shortest; past it, the pace of all lengthens the rests, by its square
-/// The shortest mean answer time is taken over spans of this length and forgets by this factor a span.
-const SHORTEST_SPAN: Duration = millis(2000);
-const SHORTEST_FORGETS: f64 = 1.02;
+const SHORTEST_SPAN: Duration = millis(2000); // over which the means are taken of which one is the shortest
+const SHORTEST_FORGETS: f64 = 1.02; // by this factor a span
 const SILENT: f64 = 9.0; // a node is when chance alone would make it so once in about 8,000 (e^9) tries
 const LOST: f64 = 5.0; // present answer times after which a call-out counts as lost; by chance, 1 in 150
 const ERRORS: usize = 2; // after so many, an RPC itself is taken to be at fault
 const SQUEEZED: Duration = millis(5000); // how long idle connections are given back after a refusal
 const TIME_NEEDED: f64 = 2.0; // an RPC is sent only if so many present answer times are left to it
 const MOST_NEEDED: f64 = 0.75; // of its whole time
-/// An RPC that no node was sent is given up within this part of its time: half of it unused is paid for.
-const UNSENT: f64 = 0.45;
+const UNSENT: f64 = 0.45; // of its time, when an RPC that no node was sent is given up: past half is paid for
 const SURE: f64 = 20.0; // so many more tries must have waited alike before another is taken for a repeat
 const CARRIED_OVER: f64 = 2.0; // seconds over which about what a node carries is counted
 /// All routers' least call-outs to a cold node in the overload span; the part of the span that is saved up.
 const COLD_FLOOR: f64 = 4.0;
+const MOST_TOKENS: usize = 10_000; // past it, the newest stands in for all here too
 const ASK_AGAIN: Duration = millis(300); // after a failure of the list; then twice as long each time
 
 pub struct Router<H: Host> {
@@ -163,7 +159,8 @@
         // Where only listed drains bind, a node that has dropped out of the list may still be sent to.
         let gone_stays = self.values.flag("rules.only_listed_drains");
         for (node, member) in self.members.iter_mut().filter(|_| extent != Extent::Changes && !gone_stays) {
-            member.stopped |= !list.iter().any(|entry| entry.node == *node);
+            member.gone = !list.iter().any(|entry| entry.node == *node);
+            member.stopped |= member.gone;
         }
         // A node that is new on a list known before has just started, even if no time is told.
         let new = (!self.members.is_empty() && extent == Extent::Changes).then_some(now);
@@ -178,6 +175,7 @@
                 pace: 1.0,
                 ..Member::default()
             });
+            member.gone = entry.condition == Condition::Gone && !gone_stays;
             member.stopped = match entry.condition {
                 Condition::Healthy => false,
                 Condition::Draining => true,
@@ -225,7 +223,8 @@
             }
             _ => rpc.since_write.map(|since| now.saturating_sub(since)),
         };
-        let group = self.groups.entry(group_id).or_default();
+        // Of a group that nobody is in nothing is kept: its number may be anything.
+        let Some(group) = self.groups.get_mut(&group_id) else { return self.host.push_back(id, HOLD) };
         if method.need != Need::Write {
             group.share = (group.share + PRIMARY_SHARE).min(PRIMARY_SAVED);
         }
@@ -245,7 +244,9 @@
         self.settle(now, group_id);
     }
 
-    pub fn call_ended(&mut self, now: Duration, end: CallEnd) {
+    pub fn call_ended(&mut self, now: Duration, mut end: CallEnd) {
+        // Guards against a spoilt position: the highest told would hold for good. A commit is rounded up.
+        end.position = end.position.filter(|at| *at <= now + HOLD);
         if let Some(held) = self.held.get_mut(&end.rpc)
             && let Some(call) = held.calls.get_mut(end.call.0 as usize)
         {
@@ -257,7 +258,7 @@
         } else if self.held.get(&end.rpc).is_some_and(|held| !held.is_out() && !held.waits) {
             self.go_on(now, end.rpc);
         }
-        self.settle(now, self.members[&end.node].group);
+        self.settle(now, self.members.get(&end.node).map_or_else(GroupId::default, |member| member.group));
     }
 
     pub fn probe_ended(&mut self, now: Duration, node: NodeId, end: Outcome, report: Option<Report>) {
@@ -347,14 +348,23 @@
             member.shut |= member.missed > SILENT;
         }
         // What all members have passed excludes only one that comes back later: the newest stands in for all.
-        let (members, groups) = (&self.members, &mut self.groups);
+        let (members, groups, few) = (&self.members, &mut self.groups, self.tokens.len() <= MOST_TOKENS);
         self.tokens.retain(|(id, _), token| {
             let behind = |m: &Member| m.group == *id && !m.stopped && m.position < Some(*token);
-            let keep = members.values().any(behind);
+            let keep = few && members.values().any(behind);
             let group = groups.entry(*id).or_default();
             group.passed = if keep { group.passed } else { group.passed.max(Some(*token)) };
             keep
         });
+        // Nothing is kept of a node that is gone, once all that is out there has ended.
+        let over = |m: &Member| m.gone && m.out.is_empty() && !m.probing;
+        while let Some((node, member)) = self.members.iter().find(|(_, member)| over(member)) {
+            let (node, group) = (*node, member.group);
+            self.members.remove(&node);
+            self.lose_primary(now, group, node);
+            self.groups.entry(group).or_default().members.remove(&node);
+            self.host.close_idle(node);
+        }
         let least = self.tightest / SWEEPS_PER_BOUND;
         let due =
             |m: &Member| m.shut && !m.stopped && m.probe_ended + least * 2u32.pow(m.failed_probes) <= now;
@@ -478,7 +488,7 @@
     fn note_report(&mut self, now: Duration, node: NodeId, report: Option<&Report>) {
         let (Some(report), Some(member)) = (report, self.members.get_mut(&node)) else { return };
         member.queue = report.waiting;
-        let Some(position) = report.position else { return };
+        let Some(position) = report.position.filter(|at| *at <= now + HOLD) else { return };
         self.note_position(now, node, position);
         if let Some(primary) = report.primary {
             let role = if primary { Role::Primary } else { Role::Replica };
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,7 +65,9 @@
     pub group: GroupId,
     pub zone: ZoneId,
     pub kind: usize,
+    /// Told to drain, or gone from the list.
     pub stopped: bool,
+    pub gone: bool,
     pub started: Option<Duration>,
     pub position: Option<Duration>,
     pub heard: Option<Duration>,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -378,6 +378,46 @@
     assert_eq!(sent(&mut stage, 4, None, 1), [node(1)]);
 }
 
+#[test]
+fn what_is_gone_is_forgotten_once_its_call_outs_have_ended() {
+    // Where nodes are always new, the old ones must not be walked and kept for ever.
+    let mut stage = stage(3, 0, &[]);
+    stage.pass(ms(10));
+    let read = stage.arrive(1, LONG, None);
+    let at = stage.sent_to(read)[0];
+    let number = (2..=3).find(|number| node(*number) == at).unwrap();
+    let gone = [1, number].map(|number| stage.listed(number, Condition::Gone));
+    stage.list(Extent::Changes, &gone);
+    stage.pass(ms(100));
+    assert_eq!(stage.books.0.borrow().closed, [node(1)], "the other has a call-out out");
+    stage.end(read, Outcome::Ok);
+    stage.pass(ms(100));
+    assert_eq!(stage.books.0.borrow().closed, [node(1), at]);
+    let write = stage.arrive(4, LONG, None);
+    assert_eq!(stage.sent_to(write), [node(5 - number)], "a new primary is sought among those that are left");
+    let back = stage.listed(number, Condition::Healthy);
+    stage.list(Extent::Whole, &[back, stage.listed(5 - number, Condition::Healthy)]);
+    stage.pass(ms(100));
+    assert!(sent(&mut stage, 1, None, 20).contains(&at), "it may come back");
+}
+
+#[test]
+fn a_position_that_cannot_be_is_not_believed() {
+    let mut stage = stage(3, 500, &[]);
+    let later = stage.now() + LONG;
+    stage.books.0.borrow_mut().nodes.get_mut(&node(2)).unwrap().position = later;
+    assert!(sent(&mut stage, 1, None, 40).contains(&node(2)));
+    assert!(sent(&mut stage, 0, None, 40).iter().all(|at| *at == node(3)));
+}
+
+#[test]
+fn an_rpc_for_a_group_that_nobody_is_in_is_turned_away_at_once() {
+    let mut stage = stage(2, 0, &[]);
+    stage.group = GroupId(u64::MAX);
+    let id = stage.arrive(1, LONG, None);
+    assert_eq!((stage.answer(id), stage.books.0.borrow().rpcs[&id].advice), (Some("pushed back"), ms(50)));
+}
+
 #[test]
 fn a_probe_answered_with_an_error_shows_that_the_node_is_up() {
     let mut stage = stage(2, 0, &[]);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -179,6 +179,8 @@
     pub took: Option<(Duration, Duration)>,
     /// How many wait at each node, as answers report it.
     pub queue: Option<f64>,
+    /// Which group RPCs are for.
+    pub group: GroupId,
     next: u64,
 }
 
@@ -215,7 +217,8 @@
         books.0.borrow_mut().now = ms(100_000);
         books.0.borrow_mut().values = settings(change);
         let router = Router::new(books.clone(), seed, settings(change), ms(100_000));
-        let mut stage = Self { books, router, primary: node(1), took: None, queue: None, next: 0 };
+        let mut stage =
+            Self { books, router, primary: node(1), took: None, queue: None, group: GroupId(0), next: 0 };
         let list: Vec<Listed> = (1..=nodes).map(|number| stage.listed(number, Condition::Healthy)).collect();
         stage.list(Extent::Remembered, &list);
         stage
@@ -274,7 +277,7 @@
         self.next += 1;
         let (id, now) = (RpcId(self.next), self.now());
         let session = (method == 2 || method == 4).then_some(SessionKey(7));
-        let (method, tenant, group) = (MethodId(method), TenantId(0), GroupId(0));
+        let (method, tenant, group) = (MethodId(method), TenantId(0), self.group);
         let rpc =
             Rpc { id, method, tenant, session, group, remaining, work: None, since_write, retried: false };
         let remembered = self.books.0.borrow().values.text("replication.session_marks") == "remembered";
