What calm reads leave of the primary's share is kept for when replicas lag

That is the design's tenth; but of it only ten reads could be saved up, so calm time left nothing. Now a hundred, so the tenth is one of the last thousand reads (design.md). Kept at 100: more would let a primary that has just been elected meet too many at once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,7 +31,7 @@
 
 const HOLD: Duration = millis(50); // how long a read may wait for the record to name a replica (design)
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
-const PRIMARY_SAVED: f64 = 10.0; // so many of them may be saved up
+const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -68,6 +68,15 @@
     assert!(advice > Some(ms(0)) && advice < Some(ms(100)), "a short time to come back: {advice:?}");
 }
 
+#[test]
+fn the_share_that_calm_reads_left_is_there_when_all_replicas_lag() {
+    let mut stage = stage(2, 500, &[]);
+    sent(&mut stage, 4, None, 1);
+    sent(&mut stage, 1, None, 500);
+    let at_primary = sent(&mut stage, 0, None, 100).iter().filter(|at| **at == node(1)).count();
+    assert!((50..=61).contains(&at_primary), "a tenth of 500, and of these: {at_primary}");
+}
+
 #[test]
 fn past_the_share_a_read_goes_to_the_nearest_replica_where_nodes_check() {
     let mut stage = stage(3, 900, &[("replication.read_check", Value::Text("reject".into()))]);
