Clients are held to limits: faults are told and read, open ids refused, memory counted

Connections that have not said anything now go first when sockets are short (before, the longest idle usual client did).

--- a/router/src/client.rs
+++ b/router/src/client.rs
@@ -3,27 +3,40 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
 use quillpoint::host::Outcome;
 
+use crate::budget::{Budget, Exhausted, Held};
 use crate::config::Deployment;
-use crate::descriptors::{Descriptors, Side, Slot};
+use crate::descriptors::{Descriptors, Rank, Side, Slot};
 use crate::engine::{Engine, Order};
+use crate::open_ids::OpenIds;
 use crate::pg::{self, Asked, Broken, Opening};
 use crate::pool::Pool;
 use crate::seldom::Seldom;
-use crate::statement::Statement;
+use crate::statement::{Kept, Statement};
 
 /// How much is read at once.
 const PIECE: usize = 4096;
+/// How far a client that sends ahead of its answers is read while an RPC is out.
+const READ_AHEAD: usize = 4 * PIECE;
+/// How long a connection may take to its first whole message, and a message that has begun at the most.
+const OPENING: Duration = Duration::from_secs(2);
+const LONGEST_MESSAGE: Duration = Duration::from_secs(2);
+/// So many statements in a row that cannot be used end a session: it is no client of this service.
+const FAULTS_BORNE: usize = 8;
+/// What still comes from a client that was told of a fault is passed over for so long, and so many bytes of it.
+/// A close at once would be a reset, which can take the word of the fault back.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
 /// A pause after a failed accept, so that a failure that lasts does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
@@ -40,6 +53,23 @@
     Closed,
     #[error("a message did not arrive whole in time")]
     Late,
+    #[error("{0}")]
+    Exhausted(#[from] Exhausted),
+    #[error("too many statements in a row that cannot be used")]
+    Faults,
+}
+
+impl End {
+    /// What the client is told of it, where it is the client's doing.
+    fn code(&self) -> Option<&'static str> {
+        match self {
+            Self::Broken(broken) => Some(broken.code()),
+            Self::Late => Some("57014"),
+            Self::Exhausted(_) => Some("53200"),
+            Self::Faults => Some("08P01"),
+            Self::Io(_) | Self::Left | Self::Closed => None,
+        }
+    }
 }
 
 /// All that sessions share.
@@ -48,10 +78,15 @@
     engine: Rc<Engine>,
     pool: Rc<Pool>,
     descriptors: Rc<Descriptors>,
-    /// How long a message that has begun may take to arrive whole.
+    /// For messages that have not come whole, and for statements under way: the ones must not crowd out the
+    /// others.
+    coming: Rc<Budget>,
+    held: Rc<Budget>,
+    open_ids: Rc<OpenIds>,
+    /// How long a message that has begun may take to arrive whole, and an answer to be read.
     patience: Duration,
+    longest_deadline: Duration,
     most_held: usize,
-    most_memory: usize,
     /// Sessions that are open, and a way to have each closed when it is idle.
     open: RefCell<BTreeMap<u64, Sender<()>>>,
     next: Cell<u64>,
@@ -65,17 +100,20 @@
         engine: Rc<Engine>,
         pool: Rc<Pool>,
         descriptors: Rc<Descriptors>,
+        (coming, held): (Rc<Budget>, Rc<Budget>),
         deployment: &Deployment,
-        most_memory: usize,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
             engine,
             pool,
             descriptors,
-            patience: deployment.longest_deadline,
+            coming,
+            held,
+            open_ids: Rc::default(),
+            patience: deployment.longest_deadline.min(LONGEST_MESSAGE),
+            longest_deadline: deployment.longest_deadline,
             most_held: deployment.most_held,
-            most_memory,
             open: RefCell::default(),
             next: Cell::new(0),
             draining: Cell::new(false),
@@ -89,7 +127,11 @@
             // The slot first: a connection that could not be served had better wait where it is.
             let slot = self.descriptors.take_for_client().await;
             match listener.accept().await {
-                Ok((stream, _)) => self.welcome(stream, slot),
+                Ok((stream, _)) => {
+                    self.welcome(stream, slot);
+                    // It is idle from now on, and must be known as such before a place is made for the next.
+                    future::yield_now().await;
+                }
                 Err(error) => {
                     if self.told.is_due() {
                         log::warn!("accept failed: {error}");
@@ -122,18 +164,16 @@
         self.open.borrow_mut().insert(number, close.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            let (unread, discards) = (Vec::new(), false);
-            let mut session = Session { clients: &clients, stream, unread, close, closed, slot, discards };
-            let end = session.run().await;
-            if let Err(End::Broken(broken)) = &end {
-                let mut out = Vec::new();
-                pg::put_error(&mut out, true, broken.code(), &broken.to_string(), None);
-                _ = session.send(&out).await;
-            }
-            if let Err(end) = end {
-                log::debug!("session {number}: {end}");
+            if let Ok(memory) = clients.coming.hold(0) {
+                let (unread, discards, opening) = (Vec::new(), false, Some(Instant::now() + OPENING));
+                let clients = &clients;
+                let mut session =
+                    Session { clients, stream, unread, memory, close, closed, slot, discards, opening };
+                if let Err(end) = session.run().await {
+                    log::debug!("session {number}: {end}");
+                    session.part(&end).await;
+                }
             }
-            drop(session);
             clients.open.borrow_mut().remove(&number);
         };
         self.executor.spawn(task).detach();
@@ -166,11 +206,14 @@
     clients: &'a Rc<Clients>,
     stream: Async<TcpStream>,
     unread: Vec<u8>,
+    memory: Held,
     close: Sender<()>,
     closed: async_channel::Receiver<()>,
     slot: Slot,
     /// After a message of the extended protocol, all is passed over up to Sync.
     discards: bool,
+    /// By when the first whole message within the session must have come, until it has.
+    opening: Option<Instant>,
 }
 
 impl Session<'_> {
@@ -178,9 +221,12 @@
         if !self.open().await? {
             return Ok(());
         }
+        let mut faults = 0;
         loop {
             let mut out = Vec::new();
-            match self.next(pg::asked).await? {
+            let asked = self.next(pg::asked).await?;
+            self.opening = None;
+            match asked {
                 Asked::Terminate => return Ok(()),
                 Asked::Sync => {
                     self.discards = false;
@@ -192,21 +238,56 @@
                     pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
                 }
                 Asked::Query(_) if !self.slot.is_let_in() => {
-                    pg::put_error(&mut out, true, "53300", "this router has no socket left for it", None);
+                    put_no_room(&mut out, true, "this router has no socket left for it");
                     return self.send(&out).await;
                 }
                 Asked::Query(text) => {
-                    self.query(text, &mut out).await?;
+                    let usable = self.query(text, &mut out).await?;
+                    faults = if usable { 0 } else { faults + 1 };
                     pg::put_ready(&mut out);
                 }
             }
             self.send(&out).await?;
+            if faults >= FAULTS_BORNE {
+                return Err(End::Faults);
+            }
+            // A client that always has more to say must not keep the others from theirs.
+            future::yield_now().await;
+        }
+    }
+
+    /// A client is told why its session ends, if that is its own doing, and given the time to read it.
+    async fn part(&mut self, end: &End) {
+        let Some(code) = end.code() else { return };
+        let mut out = Vec::new();
+        pg::put_error(&mut out, true, code, &end.to_string(), None);
+        if self.send(&out).await.is_err() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
         }
+        self.unread = Vec::new();
+        _ = self.memory.resize(0);
+        let (close, closed) = (self.close.clone(), self.closed.clone());
+        let _parked =
+            self.clients.descriptors.park(self.slot.side, Rank::Unopened, move || _ = close.try_send(()));
+        let mut stream = &self.stream;
+        let rest = async {
+            let (mut piece, mut left) = ([0; PIECE], LINGER_BYTES);
+            while let Ok(count) = stream.read(&mut piece).await
+                && count > 0
+                && count < left
+            {
+                left -= count;
+                future::yield_now().await;
+            }
+        };
+        let closing = async { _ = closed.recv().await };
+        let long_enough = async { _ = Timer::after(LINGER).await };
+        rest.or(closing).or(long_enough).await;
     }
 
     /// One write for an answer. A client that does not read it is not waited for for ever.
     async fn send(&mut self, out: &[u8]) -> Result<(), End> {
-        let late = late(Instant::now() + self.clients.patience);
+        let late = late(Instant::now() + self.clients.longest_deadline);
         let written = async { Ok(self.stream.write_all(out).await?) };
         written.or(late).await
     }
@@ -232,37 +313,45 @@
         &mut self,
         decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, Broken>,
     ) -> Result<T, End> {
-        let mut whole_by = None;
+        let mut whole_by = self.opening;
         loop {
             if let Some((message, taken)) = decode(&self.unread)? {
                 self.unread.drain(..taken);
                 if self.unread.is_empty() {
                     self.unread.shrink_to(PIECE);
+                    _ = self.memory.resize(beyond_a_piece(&self.unread));
                 }
                 return Ok(message);
             }
             if !self.unread.is_empty() {
                 // Its first byte has come, so the rest is due: a trickle does not put that off.
                 let by = *whole_by.get_or_insert_with(|| Instant::now() + self.clients.patience);
-                read(&self.stream, &mut self.unread).or(late(by)).await?;
+                read(&self.stream, &mut self.unread, &mut self.memory).or(late(by)).await?;
                 continue;
             }
             // While it drains, a router still takes what has arrived by now.
             let draining = self.clients.draining.get();
             let (close, closed) = (self.close.clone(), self.closed.clone());
-            let _parked = self.clients.descriptors.park(self.slot.side, move || _ = close.try_send(()));
+            let rank = if self.opening.is_some() { Rank::Unopened } else { Rank::Idle };
+            let _parked = self.clients.descriptors.park(self.slot.side, rank, move || _ = close.try_send(()));
+            let opened = async {
+                match self.opening {
+                    Some(by) => late(by).await,
+                    None => future::pending().await,
+                }
+            };
             let closing = async {
                 if !draining {
                     _ = closed.recv().await;
                 }
                 Err(End::Closed)
             };
-            read(&self.stream, &mut self.unread).or(closing).await?;
+            read(&self.stream, &mut self.unread, &mut self.memory).or(closing).or(opened).await?;
         }
     }
 
-    /// The life of an RPC: from its query to the answer, which is left in `out`.
-    async fn query(&mut self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<(), End> {
+    /// The life of an RPC: from its query to the answer, which is left in `out`. Whether it was one at all.
+    async fn query(&mut self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<bool, End> {
         let clients = Rc::clone(self.clients);
         let engine = &clients.engine;
         if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
@@ -270,27 +359,37 @@
                 true => pg::put_empty_query(out),
                 false => pg::put_error(out, false, "57P03", "no list of nodes has come yet", None),
             }
-            return Ok(());
+            return Ok(true);
         }
         let statement = match Statement::parse(text) {
             Ok(statement) => statement,
             Err(fault) => {
                 pg::put_error(out, false, fault.code(), &fault.to_string(), None);
-                return Ok(());
+                return Ok(false);
             }
         };
-        let Some(method) = engine.method(&statement.method) else {
+        let Some((method, writes)) = engine.method(&statement.method) else {
             let message = format!("the comment's c names no class: {:?}", statement.method);
             pg::put_error(out, false, "22023", &message, None);
-            return Ok(());
+            return Ok(false);
         };
-        let (count, size) = engine.held();
-        if count >= clients.most_held || size + statement.size() > clients.most_memory {
-            pg::put_error(out, false, "53300", "this router holds all the RPCs it may", None);
-            return Ok(());
+        if writes != statement.writes {
+            // Taken for a read, it could be repeated though it writes.
+            let message = format!("the statement is none of class {:?}", statement.method);
+            pg::put_error(out, false, "22023", &message, None);
+            return Ok(false);
         }
-        let statement = Rc::new(statement);
-        let (rpc, orders) = engine.rpc_arrived(method, &statement);
+        let Some(open) = clients.open_ids.open(statement.id.clone()) else {
+            pg::put_error(out, false, "42710", "an RPC of this id is under way", None);
+            return Ok(false);
+        };
+        let memory = clients.held.hold(statement.size()).ok().filter(|_| engine.held() < clients.most_held);
+        let Some(memory) = memory else {
+            put_no_room(out, false, "this router holds all the RPCs it may");
+            return Ok(true);
+        };
+        let statement = Rc::new(Kept { statement, _memory: memory, _open: open });
+        let (rpc, orders) = engine.rpc_arrived(method, &statement.statement);
         loop {
             let order = async { Ok(orders.recv().await.ok()) };
             let left = async { Err(self.left().await) };
@@ -300,23 +399,23 @@
                 }
                 Ok(Some(Order::Answer(answer))) => {
                     pg::put_answer(out, &answer);
-                    return Ok(());
+                    return Ok(true);
                 }
                 Ok(Some(Order::PushBack(retry_after))) => {
                     let ms = retry_after.as_millis().to_string();
                     let detail = (!retry_after.is_zero()).then_some(ms.as_str());
                     pg::put_error(out, false, "53300", "nothing ran, so trying again is harmless", detail);
-                    return Ok(());
+                    return Ok(true);
                 }
                 Ok(Some(Order::Abort(last))) => {
                     let (code, message) = cause(last);
                     pg::put_error(out, false, code, message, None);
-                    return Ok(());
+                    return Ok(true);
                 }
                 // The engine gives each RPC its final answer; without one nothing is known of it.
                 Ok(None) => {
                     pg::put_error(out, false, "XX000", "the RPC was dropped", None);
-                    return Ok(());
+                    return Ok(true);
                 }
                 Err(end) => {
                     engine.client_left(rpc);
@@ -329,12 +428,14 @@
     /// Reads on while an RPC is out, so that a client that leaves is noticed at once.
     async fn left(&mut self) -> End {
         loop {
-            // A client that sends ahead of its answers is read no further than one message.
-            if self.unread.len() >= pg::LONGEST {
-                return std::future::pending().await;
+            if self.unread.len() >= READ_AHEAD {
+                return future::pending().await;
             }
-            if let Err(end) = read(&self.stream, &mut self.unread).await {
-                return end;
+            match read(&self.stream, &mut self.unread, &mut self.memory).await {
+                Ok(()) => {}
+                // It is read on once the RPC is answered, if there is room by then.
+                Err(End::Exhausted(_)) => return future::pending().await,
+                Err(end) => return end,
             }
         }
     }
@@ -355,7 +456,18 @@
     Err(End::Late)
 }
 
-async fn read(stream: &Async<TcpStream>, unread: &mut Vec<u8>) -> Result<(), End> {
+/// What counts against the budget: a piece for each session is bounded by the count of sockets.
+fn beyond_a_piece(unread: &Vec<u8>) -> usize {
+    unread.capacity().saturating_sub(PIECE)
+}
+
+/// For a client that there is no room for: nothing has run, and soon there may be some.
+fn put_no_room(out: &mut Vec<u8>, fatal: bool, message: &str) {
+    let wait = quillpoint::HOLD.as_millis().to_string();
+    pg::put_error(out, fatal, "53300", message, Some(&wait));
+}
+
+async fn read(stream: &Async<TcpStream>, unread: &mut Vec<u8>, memory: &mut Held) -> Result<(), End> {
     let mut piece = [0; PIECE];
     let mut stream = stream;
     match stream.read(&mut piece).await? {
@@ -364,7 +476,7 @@
             // No more than has come: many clients may send long messages at once.
             unread.reserve_exact(count);
             unread.extend(&piece[..count]);
-            Ok(())
+            Ok(memory.resize(beyond_a_piece(unread))?)
         }
     }
 }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -15,8 +15,10 @@
 
 /// Descriptors that are no sockets of peers: the standard streams, the reactor's own, the signal pipe.
 const RESERVED: usize = 16;
-/// The part of the memory that statements may take: messages under way and answers take as much again each.
-const STATEMENTS_PART: usize = 4;
+/// The parts of the memory that may be held of messages that are coming in from clients, and of statements and
+/// answers under way, of which copies are sent on.
+const COMING_PART: usize = 8;
+const HELD_PART: usize = 4;
 /// Idle connections are looked at no more often.
 const SHORTEST_IDLE: Duration = Duration::from_millis(100);
 /// Fewer than these leave no room for a client, a node and discovery at once.
@@ -47,8 +49,9 @@
     pub seed: u64,
     /// How many sockets the router may hold at once.
     pub sockets: usize,
-    /// How many bytes the statements of all held RPCs may take.
-    pub statements: usize,
+    /// How many bytes may be held of messages that come in, and of statements and answers under way.
+    pub coming: usize,
+    pub held: usize,
     /// The list of nodes as this router had it last.
     pub known: Page,
     pub deployment: Deployment,
@@ -95,7 +98,7 @@
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
             ("limits.sockets", self.sockets != other.sockets),
-            ("limits.memory_mb", self.statements != other.statements),
+            ("limits.memory_mb", self.held != other.held),
             ("settings", self.deployment.values.0 != other.deployment.values.0),
         ];
         changed.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
@@ -142,7 +145,8 @@
             discovery: address(text("GW_DISCOVERY", "discovery"))?,
             seed,
             sockets: sockets as usize - RESERVED,
-            statements: memory / STATEMENTS_PART,
+            coming: memory / COMING_PART,
+            held: memory / HELD_PART,
             known,
             deployment,
         })
--- a/router/src/descriptors.rs
+++ b/router/src/descriptors.rs
@@ -24,13 +24,21 @@
     Inner,
 }
 
+/// Which idle connections go first when sockets are short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// A client's that has not said anything yet, or is being closed.
+    Unopened,
+    Idle,
+}
+
 type Close = Box<dyn FnOnce()>;
 
 pub struct Descriptors {
     limit: usize,
     used: [Cell<usize>; 3],
-    /// Idle connections by the order in which they became idle.
-    parked: RefCell<BTreeMap<u64, (Side, Close)>>,
+    /// Idle connections by their rank and the order in which they became idle.
+    parked: RefCell<BTreeMap<(Rank, u64), (Side, Close)>>,
     next: Cell<u64>,
     freed: Event,
 }
@@ -42,7 +50,7 @@
 }
 
 /// A connection's place among the idle ones, until it is dropped.
-pub struct Parked(Rc<Descriptors>, u64);
+pub struct Parked(Rc<Descriptors>, (Rank, u64));
 
 impl Descriptors {
     pub fn new(limit: usize) -> Rc<Self> {
@@ -115,9 +123,9 @@
         }
     }
 
-    pub fn park(self: &Rc<Self>, side: Side, close: impl FnOnce() + 'static) -> Parked {
-        let place = self.next.get();
-        self.next.set(place + 1);
+    pub fn park(self: &Rc<Self>, side: Side, rank: Rank, close: impl FnOnce() + 'static) -> Parked {
+        let place = (rank, self.next.get());
+        self.next.set(place.1 + 1);
         self.parked.borrow_mut().insert(place, (side, Box::new(close)));
         Parked(Rc::clone(self), place)
     }
--- a/router/src/drain.rs
+++ b/router/src/drain.rs
@@ -41,7 +41,8 @@
     let sessions = clients.sessions();
     log::info!("no new sessions are taken, {} sessions go on", sessions.len());
     let mut closed = 0;
-    while clients.open_sessions() > 0 {
+    // Past the end only sessions are open that have not asked, or do not read.
+    while clients.open_sessions() > 0 && Instant::now() < end + LOOK * 10 {
         let span = all_closed.saturating_duration_since(start).max(LOOK);
         let part = start.elapsed().div_duration_f64(span).min(1.0);
         let due = (sessions.len() as f64 * part).ceil() as usize;
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -81,15 +81,12 @@
     deadline: Duration,
     call_outs: u32,
     last: Option<Outcome>,
-    size: usize,
 }
 
 /// The module's host.
 struct Desk {
     clock: Clock,
     live: RefCell<BTreeMap<RpcId, Live>>,
-    /// The memory of the statements of all that is held.
-    size: Cell<usize>,
     most_call_outs: u32,
     /// Call-outs that can not be made, to be ended as such once the module's call is over.
     unsent: RefCell<Vec<CallOut>>,
@@ -104,9 +101,7 @@
 impl Desk {
     /// The one place where an RPC ends.
     fn remove(&self, rpc: RpcId) -> Option<Live> {
-        let live = self.live.borrow_mut().remove(&rpc)?;
-        self.size.set(self.size.get() - live.size);
-        Some(live)
+        self.live.borrow_mut().remove(&rpc)
     }
 
     /// The final answer: whoever gives it, the RPC is over here.
@@ -168,6 +163,7 @@
     /// The longest that a client waits; one that claims more would be held for ever.
     deadline: Duration,
     has_sessions: bool,
+    writes: bool,
 }
 
 /// Whatever the module needs is told by one method for each thing that can happen.
@@ -199,13 +195,13 @@
             let need = values.text(&format!("replication.needs.{place}"));
             let deadline = values.span(&format!("methods.{place}.deadline"));
             let deadline = deadline.unwrap_or(deployment.longest_deadline);
-            Known { name: name.clone(), deadline, has_sessions: matches!(need, "write" | "session") }
+            let writes = need == "write";
+            Known { name: name.clone(), deadline, has_sessions: writes || need == "session", writes }
         };
         let methods = deployment.methods.iter().enumerate().map(known).collect();
         let desk = Rc::new(Desk {
             clock,
             live: RefCell::default(),
-            size: Cell::new(0),
             most_call_outs,
             unsent: RefCell::default(),
             chores,
@@ -252,13 +248,15 @@
         self.listed.get()
     }
 
-    /// How many RPCs are held, and the memory that their statements take.
-    pub fn held(&self) -> (usize, usize) {
-        (self.desk.live.borrow().len(), self.desk.size.get())
+    /// How many RPCs are held.
+    pub fn held(&self) -> usize {
+        self.desk.live.borrow().len()
     }
 
-    pub fn method(&self, name: &str) -> Option<MethodId> {
-        self.methods.iter().position(|known| known.name == name).map(MethodId)
+    /// The method of this name, and whether it writes.
+    pub fn method(&self, name: &str) -> Option<(MethodId, bool)> {
+        let place = self.methods.iter().position(|known| known.name == name)?;
+        Some((MethodId(place), self.methods[place].writes))
     }
 
     /// The shortest deadline of a method, and the longest.
@@ -283,9 +281,7 @@
         let known = &self.methods[method.0];
         let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
         let remaining = statement.wait.min(known.deadline).min(left);
-        let size = statement.size();
-        self.desk.size.set(self.desk.size.get() + size);
-        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None, size };
+        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`config::Launch`] holds what a router is told; [`serve::serve`] runs one until it has drained. Every
 //! choice is made by the `quillpoint` package; this one carries it out.
 
+pub mod budget;
 pub mod client;
 pub mod command;
 pub mod config;
@@ -10,6 +11,7 @@
 pub mod directory;
 pub mod drain;
 pub mod engine;
+pub mod open_ids;
 pub mod pg;
 pub mod pool;
 pub mod seldom;
--- a/router/src/pg.rs
+++ b/router/src/pg.rs
@@ -3,11 +3,12 @@
 //! A decoder is given what has arrived so far and answers `None` while a message is not whole. What it takes
 //! is told as a count of bytes, so that the caller's buffer stays the only one.
 
-/// The longest value, and the longest message that only says something in words.
-const LONGEST_VALUE: usize = 65_536;
+/// The longest message that only says something in words.
 const LONGEST_WORDS: usize = 8_192;
-/// The longest message that a client may send: a statement with a value in hex, and its comment.
-pub const LONGEST: usize = 2 * LONGEST_VALUE + LONGEST_WORDS;
+/// The longest message that a client may send: a statement with a value of 64 KiB in hex, and its comment.
+const LONGEST: usize = 2 * 65_536 + LONGEST_WORDS;
+/// The longest value that is passed on. It is held whole, and counted where it is.
+const LONGEST_VALUE: usize = 1 << 20;
 /// What a row of one field holds beside its value: its own length, the count of fields, the field's length.
 const ROW_HEAD: usize = 4 + 2 + 4;
 /// As PostgreSQL has it, for the packets that come before a session.
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -13,13 +13,16 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use quillpoint::host::{NodeId, Outcome, Report, Role};
 
+use crate::budget::{Budget, Exhausted, Held};
 use crate::config::Deployment;
-use crate::descriptors::{Descriptors, Parked, Side, Slot};
+use crate::descriptors::{Descriptors, Parked, Rank, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
 use crate::pg::{self, Broken, Said, Told};
 use crate::seldom::Seldom;
-use crate::statement::Statement;
+use crate::statement::Kept;
 
+/// How much is read at once.
+const PIECE: usize = 4096;
 /// Nodes accept any user; these are the ones that clients name.
 const USER: &str = "portal";
 const DATABASE: &str = "crm";
@@ -37,6 +40,8 @@
     Ended,
     #[error("it did not come up in time")]
     Late,
+    #[error("{0}")]
+    Exhausted(#[from] Exhausted),
 }
 
 /// `then`, at that time.
@@ -49,6 +54,7 @@
 struct Link {
     stream: Async<TcpStream>,
     unread: Vec<u8>,
+    memory: Held,
     /// Whether the last byte of the query it carries has been written.
     written: bool,
     _slot: Slot,
@@ -84,6 +90,7 @@
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     descriptors: Rc<Descriptors>,
+    budget: Rc<Budget>,
     nodes: RefCell<BTreeMap<NodeId, Node>>,
     next: Cell<u64>,
     connect_time_out: Duration,
@@ -95,11 +102,13 @@
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         descriptors: Rc<Descriptors>,
+        budget: Rc<Budget>,
         deployment: &Deployment,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
             descriptors,
+            budget,
             nodes: RefCell::default(),
             next: Cell::new(0),
             connect_time_out: deployment.connect_time_out,
@@ -150,7 +159,7 @@
     }
 
     /// Makes a call-out; its end is told to the engine, whether or not its RPC is over by then.
-    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Rc<Statement>) {
+    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Rc<Kept>) {
         let pool = Rc::clone(self);
         let task = async move {
             let until = engine.clock.instant(call_out.until);
@@ -159,7 +168,7 @@
             let query = |waited: bool| {
                 let goes = !waited || engine.still_goes(&call_out);
                 let wait = call_out.until.saturating_sub(engine.clock.now());
-                goes.then(|| pg::query(&statement.with_wait(wait)))
+                goes.then(|| pg::query(&statement.statement.with_wait(wait)))
             };
             let (outcome, heard) = pool.exchange(call_out.node, until, query).await;
             pool.tell_reach(call_out.node, outcome);
@@ -205,7 +214,7 @@
                     log::debug!("{}: {fault}", node.0);
                     let outcome = match (fault, link.written) {
                         (_, false) => Outcome::ConnectFailed,
-                        (Fault::Broken(_), true) => Outcome::Spoilt,
+                        (Fault::Broken(_) | Fault::Exhausted(_), true) => Outcome::Spoilt,
                         _ => Outcome::Reset,
                     };
                     // What an answer that breaks off has told is not believed.
@@ -330,7 +339,7 @@
             }
             // It goes on when its call-out has ended: what has been paid for serves the next.
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
-            match Link::open(node, slot).or(late).await {
+            match Link::open(node, slot, &pool.budget).or(late).await {
                 Ok(link) if link.is_quiet() => pool.give_back(node, link),
                 Ok(_) => {
                     // More than a greeting came, so nothing that follows could be told apart from an answer.
@@ -390,7 +399,7 @@
                 node.idle.retain(|idle| idle.place != place);
             }
         };
-        let _parked = self.descriptors.park(Side::Inner, close);
+        let _parked = self.descriptors.park(Side::Inner, Rank::Idle, close);
         let idle = Idle { link, since: Instant::now(), place, _parked };
         self.nodes.borrow_mut().entry(node).or_default().idle.push(idle);
     }
@@ -398,10 +407,11 @@
 
 impl Link {
     /// Connects, and is greeted up to ReadyForQuery.
-    async fn open(node: NodeId, slot: Slot) -> Result<Self, Fault> {
+    async fn open(node: NodeId, slot: Slot, budget: &Rc<Budget>) -> Result<Self, Fault> {
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
-        let mut link = Link { stream, unread: Vec::new(), written: false, _slot: slot };
+        let memory = budget.hold(0)?;
+        let mut link = Link { stream, unread: Vec::new(), memory, written: false, _slot: slot };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, USER, DATABASE);
         link.stream.write_all(&startup).await?;
@@ -425,13 +435,19 @@
         loop {
             if let Some((told, taken)) = pg::told(&self.unread)? {
                 self.unread.drain(..taken);
+                if self.unread.is_empty() {
+                    // What a long value took is not kept for the next.
+                    self.unread.shrink_to(PIECE);
+                    self.memory.resize(self.unread.capacity().saturating_sub(PIECE))?;
+                }
                 return Ok(told);
             }
-            let mut piece = [0; 4096];
+            let mut piece = [0; PIECE];
             match self.stream.read(&mut piece).await? {
                 0 => return Err(Fault::Ended),
                 count => self.unread.extend(&piece[..count]),
             }
+            self.memory.resize(self.unread.capacity().saturating_sub(PIECE))?;
         }
     }
 
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -7,6 +7,7 @@
 use async_io::Async;
 use quillpoint::host::Extent;
 
+use crate::budget::Budget;
 use crate::client::Clients;
 use crate::config::{Fault, Launch};
 use crate::descriptors::Descriptors;
@@ -37,9 +38,10 @@
     let (directory, known) =
         Directory::new(launch.discovery, deployment, &launch.known, Rc::clone(&descriptors));
     engine.list_changed(Extent::Remembered, &known);
-    let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), deployment);
+    let (coming, held) = (Budget::new(launch.coming), Budget::new(launch.held));
+    let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), Rc::clone(&held), deployment);
     let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
-    let clients = Clients::new(executors, engines, pools, descriptors, deployment, launch.statements);
+    let clients = Clients::new(executors, engines, pools, descriptors, (coming, held), deployment);
     let (moves, moved) = async_channel::unbounded();
     executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
--- a/router/src/statement.rs
+++ b/router/src/statement.rs
@@ -8,6 +8,9 @@
 
 use quillpoint::host::{GroupId, SessionKey};
 
+use crate::budget::Held;
+use crate::open_ids::OpenId;
+
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unreadable {
     #[error("the statement does not begin with a comment that says what it is")]
@@ -16,24 +19,37 @@
     Missing(&'static str),
     #[error("the comment's {0} cannot be {1:?}")]
     Field(&'static str, String),
+    #[error("the comment says {0} twice")]
+    Twice(&'static str),
+    #[error("only SELECT, INSERT, UPDATE and DELETE are taken here")]
+    Verb,
+    #[error("a query is one statement, with its quotes closed")]
+    NotOne,
 }
 
 impl Unreadable {
     /// The SQLSTATE that tells a client of it.
     pub fn code(&self) -> &'static str {
         match self {
-            Self::NoComment | Self::Missing(_) => "42601",
-            Self::Field(..) => "22023",
+            Self::NoComment | Self::Missing(_) | Self::NotOne => "42601",
+            Self::Field(..) | Self::Twice(_) => "22023",
+            Self::Verb => "0A000",
         }
     }
 }
 
+/// No id that a client makes up is longer.
+const LONGEST_ID: usize = 64;
+
 #[derive(Debug, PartialEq, Eq)]
 pub struct Statement {
     text: Vec<u8>,
     /// Where the number of `d` stands in the text.
     wait_at: Range<usize>,
+    pub id: String,
     pub method: String,
+    /// Whether it changes anything.
+    pub writes: bool,
     pub wait: Duration,
     pub group: GroupId,
     /// When the session's last write was committed, in Unix time, where clients carry that.
@@ -42,48 +58,61 @@
     pub session: Option<SessionKey>,
 }
 
+/// A statement under way, with what it takes up: memory, and its id.
+pub struct Kept {
+    pub statement: Statement,
+    pub _memory: Held,
+    pub _open: OpenId,
+}
+
 impl Statement {
     pub fn parse(text: Vec<u8>) -> Result<Self, Unreadable> {
         let (start, end) = comment(&text).ok_or(Unreadable::NoComment)?;
         let words = str::from_utf8(&text[start..end]).map_err(|_| Unreadable::NoComment)?;
-        let (mut has_id, mut method, mut wait, mut group) = (false, None, None, None);
-        let (mut after, mut retried) = (None, false);
+        let (mut id, mut method, mut wait, mut group) = (None, None, None, None);
+        let (mut after, mut retried) = (None, None);
         let mut at = start;
         for pair in words.split(',') {
             let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
             let (name, value) = (name.trim(), value.trim());
             match name {
-                "id" if value.is_empty() => return Err(Unreadable::Field("id", String::new())),
-                "id" => has_id = true,
-                "c" => method = Some(value.to_string()),
+                "id" if value.is_empty() || value.len() > LONGEST_ID => {
+                    return Err(Unreadable::Field("id", value.chars().take(LONGEST_ID).collect()));
+                }
+                "id" => once("id", &mut id, value.to_string())?,
+                "c" => once("c", &mut method, value.to_string())?,
                 "d" => {
                     let end = at + pair.trim_end().len();
-                    wait = Some((span("d", value)?, end - value.len()..end));
+                    let span = span("d", value)?;
+                    if span.is_zero() {
+                        return Err(Unreadable::Field("d", value.to_string()));
+                    }
+                    once("d", &mut wait, (span, end - value.len()..end))?;
                 }
                 "cluster" => {
-                    let number =
-                        value.parse().map_err(|_| Unreadable::Field("cluster", value.to_string()))?;
-                    group = Some(GroupId(number));
+                    let number = value.parse();
+                    let number = number.map_err(|_| Unreadable::Field("cluster", value.to_string()))?;
+                    once("cluster", &mut group, GroupId(number))?;
                 }
-                "after" => after = Some(span("after", value)?).filter(|at| !at.is_zero()),
-                "r" => retried = value == "1",
+                "after" => once("after", &mut after, span("after", value)?)?,
+                "r" => once("r", &mut retried, value == "1")?,
                 _ => {}
             }
             at += pair.len() + 1;
         }
-        if !has_id {
-            return Err(Unreadable::Missing("id"));
-        }
+        let id = id.ok_or(Unreadable::Missing("id"))?;
         let method = method.ok_or(Unreadable::Missing("c"))?;
         let (wait, wait_at) = wait.ok_or(Unreadable::Missing("d"))?;
         let group = group.ok_or(Unreadable::Missing("cluster"))?;
+        let writes = writes(&text[end + 2..])?;
+        let (after, retried) = (after.filter(|at| !at.is_zero()), retried.unwrap_or(false));
         let session = quoted(&text[end..]).map(|key| {
             // Only whether two keys are the same matters; the hasher's keys are fixed.
             let mut hasher = DefaultHasher::new();
             key.hash(&mut hasher);
             SessionKey(hasher.finish())
         });
-        Ok(Self { text, wait_at, method, wait, group, after, retried, session })
+        Ok(Self { text, wait_at, id, method, writes, wait, group, after, retried, session })
     }
 
     /// The memory that it takes.
@@ -106,6 +135,39 @@
     Some((start + 2, start + 2 + length))
 }
 
+/// A word that came twice could mean either.
+fn once<T>(name: &'static str, slot: &mut Option<T>, value: T) -> Result<(), Unreadable> {
+    match slot.replace(value) {
+        None => Ok(()),
+        Some(_) => Err(Unreadable::Twice(name)),
+    }
+}
+
+/// Whether what follows the comment changes anything. It is one statement, for a second one would run as well.
+fn writes(text: &[u8]) -> Result<bool, Unreadable> {
+    let mut at = 0;
+    while at < text.len() {
+        let rest = &text[at..];
+        let past = |end: &[u8]| rest[1..].windows(end.len()).position(|part| part == end);
+        at += match rest[0] {
+            quote @ (b'\'' | b'"') => 2 + past(&[quote]).ok_or(Unreadable::NotOne)?,
+            _ if rest.starts_with(b"/*") => 3 + past(b"*/").ok_or(Unreadable::NotOne)?,
+            _ if rest.starts_with(b"--") => 2 + past(b"\n").unwrap_or(rest.len()),
+            b';' if rest.iter().any(|byte| !byte.is_ascii_whitespace() && *byte != b';') => {
+                return Err(Unreadable::NotOne);
+            }
+            _ => 1,
+        };
+    }
+    let words = text.trim_ascii_start();
+    let length = words.iter().take_while(|byte| byte.is_ascii_alphabetic()).count();
+    match words[..length].to_ascii_uppercase().as_slice() {
+        b"SELECT" => Ok(false),
+        b"INSERT" | b"UPDATE" | b"DELETE" => Ok(true),
+        _ => Err(Unreadable::Verb),
+    }
+}
+
 /// Milliseconds, to the microsecond. What no clock can hold is no span.
 fn span(name: &'static str, value: &str) -> Result<Duration, Unreadable> {
     let number = value.parse().ok().filter(|ms: &f64| (0.0..1e14).contains(ms));
--- a/router/tests/messages.rs
+++ b/router/tests/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
+use quillpoint_router::budget::{Budget, Held};
 use quillpoint_router::config::Launch;
 use quillpoint_router::directory::{self, Page, Reader};
 use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Reading, Said, Told};
@@ -192,13 +193,17 @@
             if other.contains([',', '=', '*', '/']) {
                 return TestResult::discard();
             }
+            // What follows is no second statement, and opens no quote.
+            let plain = |byte: &u8| !b"';\"/-".contains(byte);
+            let tail: Vec<u8> = tail.into_iter().filter(plain).collect();
+            let wait = wait.max(1);
             let (start, end) = if first {
                 (String::new(), format!(",x={other}"))
             } else {
                 (format!("x={other},"), String::new())
             };
             let text = |wait: u64| {
-                let words = format!("/* {start}id=9b1f, c=basket, d={wait} ,cluster={group}{end} */ SELECT");
+                let words = format!("/* {start}id=9b1f, c=basket, d={wait} ,cluster={group}{end} */ SELECT ");
                 [words.as_bytes(), &tail].concat()
             };
             let statement = Statement::parse(text(wait.into())).unwrap();
@@ -210,6 +215,36 @@
     );
 }
 
+#[test]
+fn no_more_is_held_than_the_budget_has_and_all_is_given_back() {
+    check(
+        (|limit: u16, sizes: Vec<(bool, u16)>| {
+            let budget = Budget::new(limit.into());
+            let (mut owners, mut sum): (Vec<(Held, usize)>, usize) = (Vec::new(), 0);
+            for (again, size) in sizes.into_iter().map(|(again, size)| (again, usize::from(size / 4))) {
+                match owners.last_mut().filter(|_| again) {
+                    Some((held, was)) => {
+                        let fits = size <= *was || sum - *was + size <= limit.into();
+                        assert_eq!(held.resize(size).is_ok(), fits);
+                        if fits {
+                            (sum, *was) = (sum - *was + size, size);
+                        }
+                    }
+                    None => match budget.hold(size) {
+                        Ok(held) => {
+                            sum += size;
+                            owners.push((held, size));
+                        }
+                        Err(_) => assert!(sum + size > limit.into()),
+                    },
+                }
+            }
+            owners.clear();
+            budget.hold(limit.into()).is_ok() && budget.hold(usize::from(limit) + 1).is_err()
+        }) as fn(u16, Vec<(bool, u16)>) -> bool,
+    );
+}
+
 #[test]
 fn two_keys_are_one_session_only_if_they_are_the_same() {
     let session = |text: &str| {
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -14,6 +14,11 @@
     Reply::Error(code.to_string(), None)
 }
 
+/// Pushed back by the router itself, with a time to come back.
+fn no_room() -> Reply {
+    Reply::Error("53300".to_string(), Some("50".to_string()))
+}
+
 /// A primary and one replica.
 fn pair() -> (Node, Node, Running, Discovery) {
     let (primary, replica) = (Node::start(true), Node::start(false));
@@ -25,9 +30,11 @@
 fn a_value_and_a_statement_pass_unchanged_but_for_the_wait() {
     let (primary, replica, router, _) = pair();
     let mut client = router.client();
-    assert_eq!([client.rpc("look", 9000), client.rpc("enter", 9000)], [ok(), ok()]);
     for (node, class) in [(replica, "look"), (primary, "enter")] {
-        let (sent, queries) = (statement(class, 9000), node.queries());
+        let sent = statement(class, 9000);
+        client.ask(&sent);
+        assert_eq!(client.reply(), ok());
+        let queries = node.queries();
         let (before, after) = sent.split_once("9000").unwrap();
         let wait = queries[0].strip_prefix(before).and_then(|rest| rest.strip_suffix(after)).unwrap();
         assert!(wait.parse::<u64>().unwrap() <= 9000, "{wait}");
@@ -249,7 +256,7 @@
     let asks = || Client::asking(router.address, &statement("look", 9000));
     // Half of the 48 sockets are for clients, whose RPCs are held; the others need not wait for them.
     let mut held: Vec<Client> = (0..24).map(|_| asks()).collect();
-    assert!((0..20).all(|_| asks().reply() == error("53300")));
+    assert!((0..20).all(|_| asks().reply() == no_room()));
     [&primary, &replica].iter().for_each(|node| node.set(Does::Answers));
     assert!(held.iter_mut().all(|client| client.reply() == ok()));
 }
@@ -262,14 +269,14 @@
     let megabyte = configuration(&discovery, &list, 64).replace(r#""memory_mb":192"#, r#""memory_mb":1"#);
     let router = Running::start(&megabyte);
     replica.set(Does::Waits);
-    let long = format!("{} -- {}", statement("look", 9000), "x".repeat(100_000));
-    let mut held: Vec<Client> = (0..2).map(|_| Client::asking(router.address, &long)).collect();
+    let long = || format!("{} -- {}", statement("look", 9000), "x".repeat(100_000));
+    let mut held: Vec<Client> = (0..2).map(|_| Client::asking(router.address, &long())).collect();
     replica.await_queries(2);
-    assert_eq!(Client::asking(router.address, &long).reply(), error("53300"), "three exceed a quarter");
+    assert_eq!(Client::asking(router.address, &long()).reply(), no_room(), "three exceed a quarter");
     let mut small = Client::asking(router.address, &statement("look", 9000));
     replica.set(Does::Answers);
     assert!(held.iter_mut().chain([&mut small]).all(|client| client.reply() == ok()));
-    assert_eq!(Client::asking(router.address, &long).reply(), ok(), "what has ended takes none");
+    assert_eq!(Client::asking(router.address, &long()).reply(), ok(), "what has ended takes none");
 }
 
 #[test]
@@ -357,9 +364,19 @@
         (good.replace("d=9000", "d=soon"), "22023"),
         (good.replace("cluster=0", "cluster=-1"), "22023"),
         (good.replace("d=9000,", ""), "42601"),
+        (good.replace("d=9000", "d=0"), "22023"),
+        (good.replace("d=9000", "d=NaN"), "22023"),
+        (good.replace("d=9000", "d=9000,d=1"), "22023"),
+        (good.replace("c=look", "c=enter"), "22023"),
+        (statement("enter", 9000).replace("c=enter", "c=look"), "22023"),
+        (good.replace("SELECT", "DROP"), "0A000"),
+        (format!("{good}; SELECT 1"), "42601"),
+        (format!("{good}'"), "42601"),
     ] {
         client.ask(&text);
         assert_eq!(client.reply(), error(code), "{text}");
+        client.ask("");
+        assert_eq!(client.reply(), Reply::Empty, "the connection lives on");
     }
     // Parse, then Sync: the extended protocol is passed over up to there.
     client.send(b"P\0\0\0\x08\0\0\0\0S\0\0\0\x04");
@@ -372,6 +389,8 @@
         (b"Q\0\0\0\x01", "08P01"),
         (b"Q\0\0\0\x06ab", "08P01"),
         (b"z\0\0\0\x04", "08P01"),
+        (b"Q\0\0\0\x09ab\0c\0", "08P01"),
+        (b"Q\0\0\0\x20half a statem", "57014"),
     ] {
         let mut client = router.client();
         client.send(bytes);
@@ -380,6 +399,74 @@
     }
 }
 
+#[test]
+fn a_fault_is_told_to_a_client_that_is_still_sending() {
+    use std::io::Write;
+    let (_, _, router, _discovery) = pair();
+    let mut client = router.client();
+    let mut sends = client.stream.try_clone().unwrap();
+    sends.write_all(b"Q\x03\x93\x87\0").unwrap();
+    // More than the router reads at once, so that a close on unread bytes would reset the connection.
+    assert!((0..16).all(|_| sends.write_all(&[b'x'; 4096]).is_ok()));
+    assert_eq!(client.reply(), error("54000"));
+    assert_eq!(client.told(), None);
+}
+
+#[test]
+fn who_says_nothing_is_closed_and_goes_first_when_descriptors_are_short() {
+    use std::io::Read;
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let router = Running::start(&configuration(&discovery, &list, 64));
+    let mut client = router.client();
+    assert_eq!(client.rpc("look", 9000), ok());
+    let mut silent: Vec<_> = (0..60).map(|_| std::net::TcpStream::connect(router.address).unwrap()).collect();
+    let closed = |stream: &mut std::net::TcpStream| stream.read_to_end(&mut Vec::new()).is_ok();
+    assert!(closed(&mut silent[0]), "the first of them has made room");
+    assert_eq!(client.rpc("look", 9000), ok(), "and not the client that has been idle for longer");
+    assert!(silent.iter_mut().all(closed), "the rest in time");
+}
+
+#[test]
+fn an_id_that_is_under_way_is_no_other_rpcs() {
+    let (_, replica, router, _discovery) = pair();
+    replica.set(Does::Waits);
+    let (mut first, mut second) = (router.client(), router.client());
+    let text = statement("look", 9000);
+    first.ask(&text);
+    replica.await_queries(1);
+    second.ask(&text);
+    assert_eq!(second.reply(), error("42710"));
+    replica.set(Does::Answers);
+    assert_eq!((first.reply(), replica.queries().len()), (ok(), 1), "the first did not notice");
+    second.ask(&text);
+    assert_eq!(second.reply(), ok(), "the id is free again");
+}
+
+#[test]
+fn a_flood_of_faults_ends_its_session_and_keeps_nobody_waiting() {
+    let (_, _, router, _discovery) = pair();
+    let (mut floods, mut usual) = (router.client(), router.client());
+    let faults: Vec<u8> = (0..500).flat_map(|_| pg::query(b"SELECT 1")).collect();
+    floods.send(&faults);
+    assert_eq!(usual.rpc("look", 9000), ok());
+    let codes: Vec<Reply> = (0..8).map(|_| floods.reply()).collect();
+    assert!(codes.iter().all(|reply| *reply == error("42601")), "{codes:?}");
+    assert_eq!(floods.reply(), error("08P01"), "the last word");
+    assert_eq!(floods.told(), None);
+}
+
+#[test]
+fn a_long_value_passes_and_one_past_all_bounds_does_not() {
+    let (_, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    replica.set(Does::Fills(400_000));
+    assert_eq!(client.rpc("look", 9000), Reply::Value(vec![b'v'; 400_000]));
+    replica.set(Does::Fills(2_000_000));
+    assert!(matches!(client.rpc("look", 9000), Reply::Error(..)));
+}
+
 #[test]
 fn a_session_opens_as_clients_open_it() {
     use std::io::{Read, Write};
--- a/router/tests/standin/mod.rs
+++ b/router/tests/standin/mod.rs
@@ -36,6 +36,8 @@
     Halves,
     /// Answers with these bytes and leaves the connection open.
     Says(&'static [u8]),
+    /// Answers with a value of so many bytes.
+    Fills(usize),
     /// Answers, with these bytes behind ReadyForQuery.
     Adds(&'static [u8]),
     /// Answers, with a load report that cannot be read.
@@ -179,6 +181,7 @@
                 Does::Breaks => return,
                 Does::Errs(code) => pg::put_error(&mut out, false, code, "as told", None),
                 Does::Says(bytes) => out.extend(bytes),
+                Does::Fills(length) => pg::put_answer(&mut out, &answer(&vec![b'v'; length])),
                 _ => pg::put_answer(&mut out, &answer(VALUE)),
             }
             if does == Does::Halves {
@@ -486,13 +489,16 @@
     }
 }
 
+/// A statement under an id of its own.
 pub fn statement(class: &str, wait_ms: u64) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let id = NEXT.fetch_add(1, Ordering::SeqCst);
     let verb = if class == "enter" {
         "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f03') RETURNING data"
     } else {
         "SELECT data FROM facts WHERE code = '7f3a'"
     };
-    format!("/* id=9b1f03aa5c7e2d41,c={class},d={wait_ms},cluster=0,k=ab12 */ {verb}")
+    format!("/* id=9b1f03aa{id:08x},c={class},d={wait_ms},cluster=0,k=ab12 */ {verb}")
 }
 
 pub fn count(counts: &AtomicUsize) -> usize {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod logic;
 mod state;
 
-pub use logic::Router;
+pub use logic::{HOLD, Router};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,8 @@
     Duration::from_millis(ms)
 }
 
-const HOLD: Duration = millis(50); // how long a read may wait for the record to name a replica (design)
+/// How long a read may wait for the record to name a replica (the design's), and what is then too soon to ask.
+pub const HOLD: Duration = millis(50);
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
 const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
