--- a/router/src/drain.rs
+++ b/router/src/drain.rs
@@ -19,9 +19,9 @@
 /// How often it is looked whether all is answered.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// Goes on serving the clients that it has for as long as it may, and lets go of them bit by bit: the routers
-/// that take them over then see their load grow, and not leap, and for no longer than a restart must take.
-/// Ends when no session is left.
+/// Goes on serving the clients that it has for as long as it may. In the second half of that time it lets go of
+/// them bit by bit: the routers that take them over then see their load grow, and not leap, for no longer than a
+/// restart must take, and one that is just being started itself is up. Ends when no session is left.
 pub async fn drain<T>(
     clients: &Rc<Clients>,
     engine: &Engine,
@@ -36,15 +36,15 @@
     accepting.cancel().await;
     clients.accept_rest(&listener).await;
     drop(listener);
-    // An RPC that comes later than this would have too little time left.
-    let (start, all_closed) = (Instant::now(), end - shortest);
+    // An RPC that comes later than the second of these would have too little time left.
+    let (start, all_closed) = (told + (end - told) / 2, end - shortest);
     let sessions = clients.sessions();
     log::info!("no new sessions are taken, {} sessions go on", sessions.len());
     let mut closed = 0;
     // Past the end only sessions are open that have not asked, or do not read.
     while clients.open_sessions() > 0 && Instant::now() < end + LOOK * 10 {
         let span = all_closed.saturating_duration_since(start).max(LOOK);
-        let part = start.elapsed().div_duration_f64(span).min(1.0);
+        let part = Instant::now().saturating_duration_since(start).div_duration_f64(span).min(1.0);
         let due = (sessions.len() as f64 * part).ceil() as usize;
         sessions[closed..due].iter().for_each(|session| clients.close(*session));
         closed = due;
