The circle of config, directory and engine is cut: list and deployment stand below all three

Need: the list's type and the deployment's description are wanted by more programs; config, directory and engine imported each other.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -15,7 +15,7 @@
 use quillpoint::host::Outcome;
 
 use crate::budget::{Budget, Exhausted, Held};
-use crate::config::Deployment;
+use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Rank, Side, Slot};
 use crate::engine::{Engine, Order};
 use crate::open_ids::OpenIds;
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -2,16 +2,14 @@
 //!
 //! Each fault names the variable or key at fault and what was expected there.
 
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
-use std::time::Duration;
 
-use quillpoint::host::ValueMap;
 use serde_json::Value as Json;
 
-use crate::directory::Page;
+use crate::deployment::{Deployment, Fault, fault};
+use crate::list::Page;
 
 /// Descriptors that are no sockets of peers: the standard streams, the reactor's own, the signal pipe.
 const RESERVED: usize = 16;
@@ -19,27 +17,9 @@
 /// answers under way, of which copies are sent on.
 const COMING_PART: usize = 8;
 const HELD_PART: usize = 4;
-/// Idle connections are looked at no more often.
-const SHORTEST_IDLE: Duration = Duration::from_millis(100);
 /// Fewer than these leave no room for a client, a node and discovery at once.
 const FEWEST_SOCKETS: usize = 32;
 
-#[derive(Debug, thiserror::Error)]
-pub enum Fault {
-    #[error("GW_CONFIG: expected the path of a configuration file, as no --config is given")]
-    NoFile,
-    #[error("{0}: {1}")]
-    Unreadable(String, std::io::Error),
-    #[error("{0}: expected a JSON object, {1}")]
-    NoJson(String, serde_json::Error),
-    #[error("{key}: expected {expected}, found {found}")]
-    Key { key: String, expected: &'static str, found: String },
-}
-
-fn fault(key: &str, expected: &'static str, found: impl Display) -> Fault {
-    Fault::Key { key: key.to_string(), expected, found: found.to_string() }
-}
-
 /// All that a router is told.
 #[derive(Debug)]
 pub struct Launch {
@@ -57,24 +37,6 @@
     pub deployment: Deployment,
 }
 
-/// What holds for all routers of a deployment.
-#[derive(Clone, Debug)]
-pub struct Deployment {
-    /// For the module, by its names.
-    pub values: ValueMap,
-    pub methods: Vec<String>,
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-    pub report_fields: Vec<String>,
-    pub longest_deadline: Duration,
-    pub connect_time_out: Duration,
-    /// A connection that has stood idle for so long is closed by a node.
-    pub idle_time: Duration,
-    /// How many RPCs may be held at once.
-    pub most_held: usize,
-    pub ask_every: Duration,
-}
-
 impl Launch {
     /// Variables win over the file. `file` wins over GW_CONFIG.
     pub fn read(file: Option<&Path>, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Fault> {
@@ -157,44 +119,3 @@
     let found = found.unwrap_or_else(|| "nothing".to_string());
     SocketAddr::from_str(&found).map_err(|_| fault(&key, "an address and a port", found))
 }
-
-impl Deployment {
-    fn of(values: ValueMap) -> Result<Self, Fault> {
-        let list = |path: &str, name: &str| -> Vec<String> {
-            let at = |place: usize| match name {
-                "" => values.text(&format!("{path}.{place}")),
-                name => values.text(&format!("{path}.{place}.{name}")),
-            };
-            (0..).map(|place| at(place).to_string()).take_while(|text| !text.is_empty()).collect()
-        };
-        let span = |name: &str| {
-            values.span(name).ok_or_else(|| fault(&format!("settings ({name})"), "milliseconds", "nothing"))
-        };
-        let methods = list("methods", "name");
-        if methods.is_empty() {
-            return Err(fault("settings (methods)", "one class of RPCs or more, each with a name", "none"));
-        }
-        let mut longest_deadline = Duration::ZERO;
-        for place in 0..methods.len() {
-            span(&format!("methods.{place}.soft_deadline"))?;
-            longest_deadline = longest_deadline.max(span(&format!("methods.{place}.deadline"))?);
-        }
-        let optional = ["replication.needs.0", "methods.0.effect", "rules.ask_every", "routers", "tick"];
-        for name in optional.into_iter().filter(|name| !values.0.contains_key(*name)) {
-            // A name that silently fails to map costs decisions.
-            log::warn!("settings: {name} is missing, so its default holds");
-        }
-        Ok(Self {
-            methods,
-            zones: list("zones", ""),
-            kinds: list("kinds", ""),
-            report_fields: list("reports.fields", ""),
-            longest_deadline,
-            connect_time_out: span("allowed.connect_time_out")?,
-            idle_time: span("allowed.idle_connection")?.max(SHORTEST_IDLE),
-            most_held: values.number("allowed.held").map_or(usize::MAX, |held| held as usize),
-            ask_every: values.span("rules.ask_every").unwrap_or(Duration::from_secs(10)),
-            values,
-        })
-    }
-}
--- /dev/null
+++ b/crates/router/src/deployment.rs
@@ -0,0 +1,84 @@
+//! What holds for all routers of a deployment, and the faults of whatever a router is told at its start.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use quillpoint::host::ValueMap;
+
+/// Idle connections are looked at no more often.
+const SHORTEST_IDLE: Duration = Duration::from_millis(100);
+
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("GW_CONFIG: expected the path of a configuration file, as no --config is given")]
+    NoFile,
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("{0}: expected a JSON object, {1}")]
+    NoJson(String, serde_json::Error),
+    #[error("{key}: expected {expected}, found {found}")]
+    Key { key: String, expected: &'static str, found: String },
+}
+
+pub fn fault(key: &str, expected: &'static str, found: impl Display) -> Fault {
+    Fault::Key { key: key.to_string(), expected, found: found.to_string() }
+}
+
+/// What holds for all routers of a deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// For the module, by its names.
+    pub values: ValueMap,
+    pub methods: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub report_fields: Vec<String>,
+    pub longest_deadline: Duration,
+    pub connect_time_out: Duration,
+    /// A connection that has stood idle for so long is closed by a node.
+    pub idle_time: Duration,
+    /// How many RPCs may be held at once.
+    pub most_held: usize,
+    pub ask_every: Duration,
+}
+
+impl Deployment {
+    pub fn of(values: ValueMap) -> Result<Self, Fault> {
+        let list = |path: &str, name: &str| -> Vec<String> {
+            let at = |place: usize| match name {
+                "" => values.text(&format!("{path}.{place}")),
+                name => values.text(&format!("{path}.{place}.{name}")),
+            };
+            (0..).map(|place| at(place).to_string()).take_while(|text| !text.is_empty()).collect()
+        };
+        let span = |name: &str| {
+            values.span(name).ok_or_else(|| fault(&format!("settings ({name})"), "milliseconds", "nothing"))
+        };
+        let methods = list("methods", "name");
+        if methods.is_empty() {
+            return Err(fault("settings (methods)", "one class of RPCs or more, each with a name", "none"));
+        }
+        let mut longest_deadline = Duration::ZERO;
+        for place in 0..methods.len() {
+            span(&format!("methods.{place}.soft_deadline"))?;
+            longest_deadline = longest_deadline.max(span(&format!("methods.{place}.deadline"))?);
+        }
+        let optional = ["replication.needs.0", "methods.0.effect", "rules.ask_every", "routers", "tick"];
+        for name in optional.into_iter().filter(|name| !values.0.contains_key(*name)) {
+            // A name that silently fails to map costs decisions.
+            log::warn!("settings: {name} is missing, so its default holds");
+        }
+        Ok(Self {
+            methods,
+            zones: list("zones", ""),
+            kinds: list("kinds", ""),
+            report_fields: list("reports.fields", ""),
+            longest_deadline,
+            connect_time_out: span("allowed.connect_time_out")?,
+            idle_time: span("allowed.idle_connection")?.max(SHORTEST_IDLE),
+            most_held: values.number("allowed.held").map_or(usize::MAX, |held| held as usize),
+            ask_every: values.span("rules.ask_every").unwrap_or(Duration::from_secs(10)),
+            values,
+        })
+    }
+}
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -1,6 +1,5 @@
-//! Discovery: its pages to lists of nodes, and the watch that keeps the module's list up to date.
+//! Discovery's one caller: the watch that keeps the module's list up to date.
 
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,13 +7,12 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use quillpoint::host::{Condition, Extent, GroupId, Listed, NodeId, ZoneId};
-use serde::Deserialize;
-use serde_json::Value as Json;
+use quillpoint::host::{Extent, Listed};
 
-use crate::config::Deployment;
+use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Slot};
 use crate::engine::Engine;
+use crate::list::{Page, Reader};
 
 /// A call may take so much longer than the wait it asks for: after that, what it would have told counts as
 /// told, so that waiting on is of no use.
@@ -49,99 +47,6 @@
     Entries,
 }
 
-/// One answer of discovery.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Page {
-    pub rev: u64,
-    pub all: bool,
-    targets: Vec<Json>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: State,
-    #[serde(default)]
-    boot_ms: f64,
-    #[serde(default)]
-    role: String,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum State {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-impl Page {
-    pub fn of(tree: &Json) -> Result<Self, serde_json::Error> {
-        Self::deserialize(tree)
-    }
-}
-
-/// Turns pages to lines for the module. It remembers which endpoint each `uid` had.
-pub struct Reader {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    endpoints: BTreeMap<String, Listed>,
-}
-
-impl Reader {
-    pub fn new(deployment: &Deployment) -> Self {
-        let (zones, kinds) = (deployment.zones.clone(), deployment.kinds.clone());
-        Self { zones, kinds, endpoints: BTreeMap::new() }
-    }
-
-    pub fn lines(&mut self, page: &Page) -> Vec<Listed> {
-        let mut lines = Vec::with_capacity(page.targets.len());
-        let before = if page.all { std::mem::take(&mut self.endpoints) } else { BTreeMap::new() };
-        for entry in &page.targets {
-            let target = match Target::deserialize(entry) {
-                Ok(target) => target,
-                Err(error) => {
-                    log::warn!("list entry skipped, {error}: {entry}");
-                    continue;
-                }
-            };
-            let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-            let line = Listed {
-                node: NodeId(target.endpoint),
-                group: GroupId(target.pod_group),
-                zone: ZoneId(place(&self.zones, &target.az).unwrap_or(0)),
-                kind: place(&self.kinds, &target.model).unwrap_or(0),
-                primary: target.role == "primary",
-                condition: match target.state {
-                    State::InService => Condition::Healthy,
-                    State::Terminating => Condition::Draining,
-                    State::Terminated => Condition::Gone,
-                },
-                started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(quillpoint_settings::span),
-            };
-            let old = match line.condition {
-                Condition::Gone => self.endpoints.remove(&target.uid),
-                _ => self.endpoints.insert(target.uid.clone(), line.clone()),
-            };
-            // A machine that shows up elsewhere: the old node is gone, and a new one has come.
-            if let Some(old) = old.or_else(|| before.get(&target.uid).cloned())
-                && old.node != line.node
-            {
-                lines.push(Listed { condition: Condition::Gone, ..old });
-            }
-            lines.push(line);
-        }
-        lines
-    }
-}
-
 /// Discovery's one caller.
 pub struct Directory {
     address: SocketAddr,
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -18,7 +18,7 @@
     CallEnd, CallNo, Extent, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc, RpcId, TenantId,
 };
 
-use crate::config::Deployment;
+use crate::deployment::Deployment;
 use crate::pg::Answer;
 use crate::statement::Statement;
 
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -14,7 +14,7 @@
 use quillpoint::host::{NodeId, Outcome, Report, Role};
 
 use crate::budget::{Budget, Exhausted, Held};
-use crate::config::Deployment;
+use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Parked, Rank, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
 use crate::pg::{self, Broken, Said, Told};
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -9,7 +9,8 @@
 
 use crate::budget::Budget;
 use crate::client::Clients;
-use crate::config::{Fault, Launch};
+use crate::config::Launch;
+use crate::deployment::Fault;
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
 use crate::drain;
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -6,7 +6,8 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
-use crate::config::{Fault, Launch};
+use crate::config::Launch;
+use crate::deployment::Fault;
 
 /// From here on none of these ends the process by itself.
 pub fn caught() -> std::io::Result<Signals> {
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -5,7 +5,8 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 use quillpoint_router::budget::{Budget, Held};
 use quillpoint_router::config::Launch;
-use quillpoint_router::directory::{self, Page, Reader};
+use quillpoint_router::directory;
+use quillpoint_router::list::{Page, Reader};
 use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Reading, Said, Told};
 use quillpoint_router::statement::Statement;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,7 @@
     Duration::from_millis(ms)
 }
 
-/// How long a read may wait for the record to name a replica (the design's), and what is then too soon to ask.
+/// How long a read may wait for the record to name a replica (the design's), and is then too soon to ask.
 pub const HOLD: Duration = millis(50);
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
 const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
@@ -270,7 +270,7 @@
         (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
-            // Guards against a shortage: a node that is up and refuses has no connection left. Each goes back.
+            // Guards against a shortage: a node that is up and refuses has no connection left. All go back.
             if member.refused > 0 {
                 self.squeezed = now + SQUEEZED;
                 self.members.keys().for_each(|node| self.host.close_idle(*node));
@@ -415,7 +415,7 @@
         match end.outcome {
             Ok | Error | Full | Miss | Spoilt => (member.missed, member.shut) = (0.0, false),
             _ if rests => {}
-            // Guards against dead processes and cut links: a probe decides. A reset may be a lost answer only.
+            // Guards against dead processes and cut links: a probe decides. A reset may be a lost answer.
             ConnectFailed => member.shut = true,
             _ => {}
         }
@@ -430,8 +430,8 @@
             if !matches!(end.outcome, Miss | NotSent | Cancelled) {
                 member.good += (f64::from(u8::from(end.outcome == Ok)) - member.good) * WEIGHT;
             }
-            // Guards against a jam that feeds itself: of RPCs that have waited here long, only the short ones end
-            // in time, and nodes seem slow beside those. A time-out counts as its time and the mean on top.
+            // Guards against a jam that feeds itself: of RPCs that waited here long, only short ones end in
+            // time, and nodes seem slow beside those. A time-out counts as its time and the mean on top.
             let took = took + if end.outcome == TimedOut { method.present } else { 0.0 };
             if matches!(end.outcome, Ok | TimedOut) && !lost {
                 member.answers += 1.0;
@@ -649,7 +649,7 @@
                 continue;
             }
             let proven = self.is_current(now, held, node);
-            // Guards against floods of misses: where nodes check, an aged entry is tried if an even pace passes.
+            // Guards against floods of misses: where nodes check, an aged entry is tried if its pace passes.
             let pace = member.position.unwrap_or_default() + (now - member.heard.unwrap_or(now));
             let weight = self.room(now, member);
             if !(proven || checked && pace >= self.needed_position(now, held)) {
