Packages fleet, datagram and a first lab: membership, duties and shared evidence without I/O

Need: routers of one installation are to divide probing and take over from one that dies (docs/duties.md follows). Change: fleet (membership after SWIM with sessions and incarnations from the clock, duties by weighted rendezvous hashing where the r-th in line acts r graces late, a scheduler with priorities and a budget, the book of news), datagram (postcard under keyed BLAKE3, two keys, replay window), lab (virtual time, lossy network, kills, stops, skewed clocks). The program quillpoint does not use them yet.

--- /dev/null
+++ b/crates/datagram/tests/datagrams.rs
@@ -0,0 +1,204 @@
+//! What is taken and what is refused, by kind; nothing that arrives may panic or pass twice.
+
+use quickcheck::{Gen, QuickCheck};
+use quillpoint_datagram::keys::{BadKeys, Keyring};
+use quillpoint_datagram::{LONGEST, Opener, Refusal, Sealer};
+use quillpoint_fleet::ids::{LONGEST_NAME, PingNo};
+use quillpoint_fleet::letter::{CARDS_ALONG, CARDS_WHOLE, NEWS_ALONG};
+use quillpoint_fleet::{Body, Card, Incarnation, Letter, Life, News, PeerName, State};
+use std::time::Duration;
+
+const OWN: Incarnation = Incarnation(77);
+
+fn keys(text: &str) -> Keyring {
+    let lines: Vec<String> = text.split(' ').map(|digit| digit.repeat(64)).collect();
+    Keyring::parse(&lines.join("\n")).unwrap()
+}
+
+fn card(name: &str, incarnation: u64) -> Card {
+    Card {
+        name: PeerName::new(name).unwrap(),
+        life: Life { incarnation: Incarnation(incarnation), version: u32::MAX },
+        address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
+        zone: u16::MAX,
+        weight: u8::MAX,
+        state: State::Suspect,
+    }
+}
+
+fn letter(body: Body) -> Letter {
+    Letter { from: card("n1", 5), body, cards: Vec::new() }
+}
+
+fn ping() -> Letter {
+    letter(Body::Ping(PingNo(7)))
+}
+
+#[test]
+fn a_letter_passes_once() {
+    let (keys, mut sealer, mut opener) = (keys("a"), Sealer::default(), Opener::default());
+    let bytes = sealer.seal(&keys, Some(OWN), &ping()).unwrap();
+    assert_eq!(opener.open(&keys, OWN, &bytes), Ok(ping()));
+    assert_eq!(opener.open(&keys, OWN, &bytes), Err(Refusal::Replayed));
+}
+
+#[test]
+fn the_largest_letters_fit_a_datagram() {
+    let name = "n".repeat(LONGEST_NAME);
+    let card = card(&name, u64::MAX);
+    let news = News {
+        node: card.address,
+        age: Duration::new(10, 999_999_999),
+        position: Some(Duration::new(1 << 34, 999_999_999)),
+        primary: Some(true),
+        waiting: Some(u32::MAX),
+        started: Some(Duration::new(1 << 34, 999_999_999)),
+        failed: true,
+    };
+    let along = Letter {
+        from: card.clone(),
+        body: Body::News(vec![news; NEWS_ALONG]),
+        cards: vec![card.clone(); CARDS_ALONG + 1],
+    };
+    let whole = Letter { from: card.clone(), body: Body::Welcome, cards: vec![card; CARDS_WHOLE + 1] };
+    for letter in [along, whole] {
+        assert!(Sealer::default().seal(&keys("a"), Some(OWN), &letter).unwrap().len() <= LONGEST);
+    }
+}
+
+#[test]
+fn each_bad_kind_is_refused_as_what_it_is() {
+    let (ours, theirs) = (keys("a"), keys("b"));
+    let mut sealer = Sealer::default();
+    let good = sealer.seal(&ours, Some(OWN), &ping()).unwrap();
+    let mut opener = Opener::default();
+    let mut open = |bytes: &[u8]| opener.open(&ours, OWN, bytes).unwrap_err();
+    assert_eq!(open(b""), Refusal::Truncated);
+    assert_eq!(open(b"Q"), Refusal::Truncated);
+    assert_eq!(open(&good[..40]), Refusal::Truncated);
+    assert_eq!(open(&good[..good.len() - 1]), Refusal::Forged);
+    assert_eq!(open(b"GET / HTTP/1.1"), Refusal::Foreign);
+    assert_eq!(open(&[good.clone(), vec![0; LONGEST]].concat()), Refusal::TooLong);
+    let mut later = good.clone();
+    later[2] = 2;
+    assert_eq!(open(&later), Refusal::Version);
+    assert_eq!(open(&sealer.seal(&theirs, Some(OWN), &ping()).unwrap()), Refusal::UnknownKey);
+    let other = sealer.seal(&ours, Some(Incarnation(78)), &ping()).unwrap();
+    assert_eq!(open(&other), Refusal::OtherSession);
+    let unknown = sealer.seal(&ours, None, &ping()).unwrap();
+    assert_eq!(open(&unknown), Refusal::OtherSession, "only a hello may leave it open");
+    // Of all these, none spoilt the window.
+    assert!(opener.open(&ours, OWN, &good).is_ok());
+}
+
+#[test]
+fn no_flipped_bit_and_no_cut_passes() {
+    let keys = keys("a");
+    let good = Sealer::default().seal(&keys, Some(OWN), &ping()).unwrap();
+    for bit in 0..good.len() * 8 {
+        let mut bytes = good.clone();
+        bytes[bit / 8] ^= 1 << (bit % 8);
+        assert!(Opener::default().open(&keys, OWN, &bytes).is_err(), "bit {bit}");
+    }
+    assert!((0..good.len()).all(|cut| Opener::default().open(&keys, OWN, &good[..cut]).is_err()));
+}
+
+#[test]
+fn noise_never_panics_even_under_a_good_hash() {
+    fn noise(bytes: Vec<u8>) -> bool {
+        Opener::default().open(&keys("a"), OWN, &bytes).is_err()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(1500, 1))
+        .tests(2000)
+        .quickcheck(noise as fn(Vec<u8>) -> bool);
+    // What a holder of the key sends is not trusted to be well formed: any bytes in place of the letter.
+    fn sealed(mut noise: Vec<u8>) -> bool {
+        let key = [0xaa; 32];
+        let keys = keys("a");
+        let head = Sealer::default().seal(&keys, Some(OWN), &ping()).unwrap()[..23].to_vec();
+        noise.truncate(1000);
+        let mut bytes = [head, noise].concat();
+        bytes.extend(blake3::keyed_hash(&key, &bytes).as_bytes());
+        matches!(
+            Opener::default().open(&keys, OWN, &bytes),
+            Ok(_) | Err(Refusal::Garbled | Refusal::OtherSession)
+        )
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 2))
+        .tests(5000)
+        .quickcheck(sealed as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn letters_out_of_order_pass_within_the_window() {
+    let (keys, mut sealer, mut opener) = (keys("a"), Sealer::default(), Opener::default());
+    let all: Vec<Vec<u8>> = (0..600).map(|_| sealer.seal(&keys, Some(OWN), &ping()).unwrap()).collect();
+    assert!(opener.open(&keys, OWN, &all[300]).is_ok());
+    assert!((45..300).rev().all(|at| opener.open(&keys, OWN, &all[at]).is_ok()));
+    assert_eq!(opener.open(&keys, OWN, &all[44]), Err(Refusal::Replayed), "too old to tell");
+    assert!(opener.open(&keys, OWN, &all[599]).is_ok());
+    assert_eq!(opener.open(&keys, OWN, &all[300]), Err(Refusal::Replayed));
+    assert!(opener.open(&keys, OWN, &all[400]).is_ok(), "a leap clears what it passes");
+    assert_eq!(opener.open(&keys, OWN, &all[400]), Err(Refusal::Replayed));
+}
+
+#[test]
+fn what_was_recorded_before_a_restart_is_worth_nothing_after_it() {
+    let (keys, mut sealer) = (keys("a"), Sealer::default());
+    let old = sealer.seal(&keys, Some(OWN), &ping()).unwrap();
+    assert_eq!(Opener::default().open(&keys, Incarnation(78), &old), Err(Refusal::OtherSession));
+    // An earlier start of the sender turns no window back.
+    let mut opener = Opener::default();
+    let new = Letter { from: card("n1", 6), ..ping() };
+    assert!(opener.open(&keys, OWN, &Sealer::default().seal(&keys, Some(OWN), &new).unwrap()).is_ok());
+    assert_eq!(
+        opener.open(&keys, OWN, &sealer.seal(&keys, Some(OWN), &ping()).unwrap()),
+        Err(Refusal::Replayed)
+    );
+    assert_eq!(
+        opener.open(&keys, OWN, &Sealer::default().seal(&keys, Some(OWN), &new).unwrap()),
+        Err(Refusal::Replayed)
+    );
+}
+
+#[test]
+fn two_keys_serve_a_change_of_keys() {
+    let (old, both, swapped, new) = (keys("a"), keys("a b"), keys("b a"), keys("b"));
+    let mut sealer = Sealer::default();
+    let mut passes = |from: &Keyring, to: &Keyring| {
+        let bytes = sealer.seal(from, Some(OWN), &ping()).unwrap();
+        Opener::default().open(to, OWN, &bytes).is_ok()
+    };
+    for (one, other) in [(&old, &both), (&both, &swapped), (&swapped, &new)] {
+        assert!(passes(one, other) && passes(other, one), "each step of the change");
+    }
+    assert!(!passes(&old, &new));
+}
+
+#[test]
+fn windows_of_ever_new_senders_are_bounded() {
+    let (keys, mut sealer, mut opener) = (keys("a"), Sealer::default(), Opener::default());
+    let hello = |place: u64| Letter { from: card(&format!("n{place}"), 5), ..letter(Body::Hello) };
+    let first = sealer.seal(&keys, None, &hello(0)).unwrap();
+    assert!(opener.open(&keys, OWN, &first).is_ok());
+    for place in 1..600 {
+        let bytes = sealer.seal(&keys, None, &hello(place)).unwrap();
+        assert!(opener.open(&keys, OWN, &bytes).is_ok());
+    }
+    // The silent one was forgotten, so its hello counts anew; the last one is remembered.
+    assert!(opener.open(&keys, OWN, &first).is_ok());
+}
+
+#[test]
+fn a_key_file_names_the_line_at_fault_and_not_the_key() {
+    let line = |text: &str| Keyring::parse(text).unwrap_err();
+    let [a, b, c] = ["a", "b", "c"].map(|digit| digit.repeat(64));
+    assert_eq!(line("# none\n\n"), BadKeys::None);
+    assert_eq!(line(&format!("# one\n{a}\nshort")), BadKeys::NoKey { line: 3 });
+    assert_eq!(line(&format!("{a}\n{a}")), BadKeys::Twice { line: 2 });
+    assert_eq!(line(&format!("{a}\n{b}\n{c}")), BadKeys::TooMany { line: 3 });
+    let ring = Keyring::parse(&format!("{a} # the old one")).unwrap();
+    assert!(!format!("{ring:?}").contains("aaaa"));
+}
--- /dev/null
+++ b/crates/fleet/src/duties.rs
@@ -0,0 +1,193 @@
+//! Periodic duties: who does each of them when.
+//!
+//! Every router knows of each duty when it was last done by anybody. The router at place r in the duty's line
+//! (see `rendezvous`) does it once it is overdue by r graces. So in calm times only the head of the line acts; a
+//! duty that its owner leaves undone is done by the next in line one grace later, whether or not anybody has
+//! noticed by then that the owner is dead. Two who both think that they own a duty hear of each other's doing and
+//! so do it no more often together than one alone, as long as their letters arrive. Whatever the views and letters
+//! say, a router does a duty no more often than once in its floor.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{DutyId, KindId, PeerName, Subject};
+use crate::rendezvous::{self, Candidate};
+use crate::scheduler::{Priority, Scheduler};
+
+/// What holds for all duties of a kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plan {
+    pub kind: KindId,
+    /// How often it is to be done, by all routers together.
+    pub period: Duration,
+    /// How much later each further one in line picks it up.
+    pub grace: Duration,
+    /// The least time between two beginnings at one router, whatever happens: its own ceiling.
+    pub floor: Duration,
+    /// How long one may be under way; a host that says nothing of its end is not waited for longer.
+    pub longest: Duration,
+    pub priority: Priority,
+    /// In units of the budget.
+    pub cost: f64,
+}
+
+struct Duty {
+    plan: Plan,
+    zone: u16,
+    /// When anybody last did it, as far as is known.
+    done: Option<Duration>,
+    /// When this router last began it, and whether it is at it.
+    begun: Option<Duration>,
+    running: bool,
+    /// Who stands before this router in line; `None` while it owns no duties.
+    place: Option<u32>,
+    /// From when on it is owed where nobody has done it yet.
+    since: Duration,
+}
+
+impl Duty {
+    /// When this router would do it.
+    fn due(&self) -> Option<Duration> {
+        let place = self.place?;
+        let owed = self.done.map_or(self.since, |done| done + self.plan.period);
+        let own = self.begun.map_or(Duration::ZERO, |begun| {
+            begun + if self.running { self.plan.longest.max(self.plan.floor) } else { self.plan.floor }
+        });
+        Some((owed + self.plan.grace * place).max(own))
+    }
+}
+
+pub struct Duties {
+    me: PeerName,
+    duties: BTreeMap<DutyId, Duty>,
+    candidates: Vec<Candidate>,
+    scheduler: Scheduler<DutyId>,
+}
+
+impl Duties {
+    /// With a budget in cost units a second and the most that may be saved of it.
+    pub fn new(me: PeerName, rate: f64, burst: f64, now: Duration) -> Self {
+        let scheduler = Scheduler::new(rate, burst, now);
+        Self { me, duties: BTreeMap::new(), candidates: Vec::new(), scheduler }
+    }
+
+    /// The routers that own duties by now. This one owns none while it is not among them.
+    pub fn view_changed(&mut self, now: Duration, candidates: Vec<Candidate>) {
+        if candidates == self.candidates {
+            return;
+        }
+        self.candidates = candidates;
+        for (id, duty) in &mut self.duties {
+            let place = rendezvous::place(*id, duty.zone, &self.me, &self.candidates);
+            if duty.place.is_none() && duty.done.is_none() {
+                // Only now does anybody here owe it.
+                duty.since = now + duty.plan.period.mul_f64(rendezvous::phase(*id));
+            }
+            duty.place = place;
+            schedule(&mut self.scheduler, *id, duty);
+        }
+    }
+
+    /// The subjects of a kind, with their zones: those that are not named are forgotten.
+    pub fn subjects_changed(&mut self, now: Duration, plan: Plan, subjects: &BTreeMap<Subject, u16>) {
+        let gone = |id: &DutyId| id.kind == plan.kind && !subjects.contains_key(&id.subject);
+        for id in self.duties.keys().copied().filter(gone).collect::<Vec<_>>() {
+            self.duties.remove(&id);
+            self.scheduler.remove(id);
+        }
+        for (subject, zone) in subjects {
+            let id = DutyId { kind: plan.kind, subject: *subject };
+            let since = now + plan.period.mul_f64(rendezvous::phase(id));
+            let place = rendezvous::place(id, *zone, &self.me, &self.candidates);
+            let duty = self.duties.entry(id).or_insert(Duty {
+                plan,
+                zone: *zone,
+                done: None,
+                begun: None,
+                running: false,
+                place,
+                since,
+            });
+            (duty.plan, duty.zone, duty.place) = (plan, *zone, place);
+            schedule(&mut self.scheduler, id, duty);
+        }
+    }
+
+    /// Somebody did it then, or something else made it needless.
+    pub fn done(&mut self, id: DutyId, at: Duration) {
+        if let Some(duty) = self.duties.get_mut(&id)
+            && duty.done < Some(at)
+        {
+            duty.done = Some(at);
+            schedule(&mut self.scheduler, id, duty);
+        }
+    }
+
+    /// This router's own doing has ended; how long it takes does not matter to the next.
+    pub fn ended(&mut self, now: Duration, id: DutyId) {
+        if let Some(duty) = self.duties.get_mut(&id) {
+            duty.running = false;
+            duty.done = duty.done.max(Some(duty.begun.unwrap_or(now)));
+            schedule(&mut self.scheduler, id, duty);
+        }
+    }
+
+    /// There is reason to do it sooner: to the next two in line it is owed at once.
+    pub fn doubted(&mut self, now: Duration, id: DutyId) {
+        if let Some(duty) = self.duties.get_mut(&id)
+            && duty.place.is_some_and(|place| place <= 1)
+            && let Some(due) = duty.due()
+        {
+            let floor = duty.begun.map_or(Duration::ZERO, |begun| begun + duty.plan.floor);
+            self.scheduler.set(id, now.max(floor).min(due), duty.plan.priority, duty.plan.cost);
+        }
+    }
+
+    /// Whether it may be done here out of turn, for one who needs it now: only if it is overdue, and so it counts
+    /// as begun. What nobody has done yet may be done at once.
+    pub fn claim(&mut self, now: Duration, id: DutyId) -> bool {
+        let Some(duty) = self.duties.get_mut(&id) else { return false };
+        let overdue = duty.done.is_none_or(|done| done + duty.plan.period + duty.plan.grace <= now);
+        let rested = duty.begun.is_none_or(|begun| begun + duty.plan.floor <= now);
+        let takes = duty.place.is_some() && overdue && rested && !duty.running;
+        if takes {
+            begin(&mut self.scheduler, now, id, duty);
+        }
+        takes
+    }
+
+    /// What is to be done now, one at a time until nothing is.
+    pub fn next(&mut self, now: Duration) -> Option<DutyId> {
+        let id = self.scheduler.take(now)?;
+        let duty = self.duties.get_mut(&id)?;
+        begin(&mut self.scheduler, now, id, duty);
+        Some(id)
+    }
+
+    /// How many duties this router heads the line for, and how many there are.
+    pub fn owned(&self) -> (usize, usize) {
+        (self.duties.values().filter(|duty| duty.place == Some(0)).count(), self.duties.len())
+    }
+
+    /// When anybody last did it, as far as is known here.
+    pub fn last_done(&self, id: DutyId) -> Option<Duration> {
+        self.duties.get(&id)?.done
+    }
+
+    pub fn is_known(&self, id: DutyId) -> bool {
+        self.duties.contains_key(&id)
+    }
+}
+
+/// The one place where a duty is begun, so that its floor holds on every way.
+fn begin(scheduler: &mut Scheduler<DutyId>, now: Duration, id: DutyId, duty: &mut Duty) {
+    (duty.begun, duty.running) = (Some(now), true);
+    schedule(scheduler, id, duty);
+}
+
+fn schedule(scheduler: &mut Scheduler<DutyId>, id: DutyId, duty: &Duty) {
+    match duty.due() {
+        Some(due) => scheduler.set(id, due, duty.plan.priority, duty.plan.cost),
+        None => scheduler.remove(id),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,217 @@
+//! A router's part in its fleet: one method for each thing that can happen.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::book::{Book, Verdict};
+use crate::duties::{Duties, Plan};
+use crate::host::{Event, Host};
+use crate::ids::{DutyId, PeerName, Subject};
+use crate::letter::{Body, Card, Letter, News, State};
+use crate::membership::Membership;
+use crate::rendezvous::Candidate;
+
+/// Periodic work is looked at so often.
+pub const TICK: Duration = Duration::from_millis(20);
+/// News is sent so often, and with more than fifty peers once a millisecond for each: a router then sends about a
+/// thousand letters a second at the most.
+const FLUSH: Duration = Duration::from_millis(50);
+const FLUSH_PER_PEER: Duration = Duration::from_millis(1);
+/// So many letters of a record go out in one tick, so that nobody's receive buffer is flooded.
+const RECORD_A_TICK: usize = 8;
+
+/// What a fleet is told at its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plans {
+    /// The probing of nodes.
+    pub probe: Plan,
+    /// The budget of background work, in cost units a second, and the most that is saved of it.
+    pub work_rate: f64,
+    pub work_burst: f64,
+    /// The budget of news to peers, in bytes a second.
+    pub news_rate: f64,
+}
+
+pub struct Fleet<H: Host> {
+    host: H,
+    members: Membership,
+    duties: Duties,
+    book: Book,
+    plans: Plans,
+    /// What is left to be sent of the record, by who asked.
+    records: BTreeMap<PeerName, Vec<Vec<News>>>,
+    next_flush: Duration,
+    told: (usize, usize, usize),
+}
+
+impl<H: Host> Fleet<H> {
+    /// `me` names this router, its start and its address; `seeds` are where others may be found.
+    pub fn new(host: H, me: Card, seeds: Vec<SocketAddr>, plans: Plans, seed: u64, now: Duration) -> Self {
+        let name = me.name.clone();
+        let mut fleet = Self {
+            host,
+            members: Membership::new(me, seeds, seed, now),
+            duties: Duties::new(name.clone(), plans.work_rate, plans.work_burst, now),
+            book: Book::new(name, plans.news_rate, now),
+            plans,
+            records: BTreeMap::new(),
+            next_flush: now,
+            told: (0, 0, 0),
+        };
+        fleet.host.wake(Duration::ZERO);
+        fleet
+    }
+
+    /// A letter that is authentic and not one that came before.
+    pub fn letter_arrived(&mut self, now: Duration, letter: Letter) {
+        self.members.ran(now, &mut self.host);
+        let Letter { from, body, cards } = letter;
+        if self.members.letter_arrived(now, &from, &body, &cards, &mut self.host) {
+            self.records.insert(from.name.clone(), self.book.record(now));
+        }
+        if let Body::News(news) = body
+            && self.members.is_current(&from)
+        {
+            news.into_iter().for_each(|news| self.hear(now, &from.name, news));
+        }
+    }
+
+    fn hear(&mut self, now: Duration, by: &PeerName, news: News) {
+        let (id, at) = (self.probe_of(news.node), now.saturating_sub(news.age));
+        match self.book.told(now, by, news) {
+            Verdict::Believed(evidence) => {
+                self.duties.done(id, at);
+                self.host.hear(evidence);
+            }
+            Verdict::Doubt => {
+                self.duties.done(id, at);
+                self.duties.doubted(now, id);
+            }
+            Verdict::Dropped => {}
+        }
+    }
+
+    pub fn timer_fired(&mut self, now: Duration) {
+        if self.members.ran(now, &mut self.host) {
+            self.records.clear();
+        }
+        self.members.tick(now, &mut self.host);
+        self.look_around(now);
+        while let Some(duty) = self.duties.next(now) {
+            self.host.perform(duty);
+        }
+        if now >= self.next_flush {
+            self.flush(now);
+        }
+        self.send_records();
+        self.host.wake(TICK);
+    }
+
+    /// The nodes there are, with their zones.
+    pub fn nodes_changed(&mut self, now: Duration, nodes: &BTreeMap<SocketAddr, u16>) {
+        let all: BTreeSet<SocketAddr> = nodes.keys().copied().collect();
+        self.book.nodes_changed(&all);
+        let subjects = nodes.iter().map(|(node, zone)| (Subject::Node(*node), *zone)).collect();
+        self.duties.subjects_changed(now, self.plans.probe, &subjects);
+    }
+
+    pub fn seeds_changed(&mut self, now: Duration, seeds: Vec<SocketAddr>) {
+        self.members.seeds_changed(now, seeds);
+    }
+
+    /// This router has found out something about a node, by a probe or by an answer.
+    pub fn found(&mut self, now: Duration, news: News) {
+        let (node, id, failed) = (news.node, self.probe_of(news.node), news.failed);
+        if let Some(peer) = self.book.found(now, news) {
+            self.host.tell(Event::Liar { peer, node });
+        }
+        if !failed {
+            // Any answer tells what a probe would.
+            self.duties.done(id, now);
+        }
+    }
+
+    /// Whether this router may probe a node now, out of turn.
+    pub fn claim_probe(&mut self, now: Duration, node: SocketAddr) -> bool {
+        let id = self.probe_of(node);
+        self.duties.claim(now, id)
+    }
+
+    pub fn duty_ended(&mut self, now: Duration, duty: DutyId) {
+        self.duties.ended(now, duty);
+    }
+
+    /// Hands over and says goodbye. Nothing is performed from then on.
+    pub fn leave(&mut self, now: Duration) {
+        if self.members.me().state == State::Left {
+            return;
+        }
+        self.next_flush = now;
+        self.flush(now);
+        self.members.leave(&mut self.host);
+        self.duties.view_changed(now, Vec::new());
+    }
+
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    pub fn duties(&self) -> &Duties {
+        &self.duties
+    }
+
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    pub fn host(&mut self) -> &mut H {
+        &mut self.host
+    }
+
+    pub fn probe_of(&self, node: SocketAddr) -> DutyId {
+        DutyId { kind: self.plans.probe.kind, subject: Subject::Node(node) }
+    }
+
+    /// Who may own duties by now.
+    fn look_around(&mut self, now: Duration) {
+        let owns = |card: &Card| matches!(card.state, State::Up | State::Suspect);
+        let candidate =
+            |card: &Card| Candidate { name: card.name.clone(), zone: card.zone, weight: card.weight };
+        let mut view: Vec<Candidate> =
+            self.members.peers().filter(|card| owns(card)).map(candidate).collect();
+        if self.members.takes_part() {
+            view.push(candidate(self.members.me()));
+        } else {
+            view.clear();
+        }
+        let routers = view.len();
+        self.duties.view_changed(now, view);
+        let (owned, all) = self.duties.owned();
+        if self.told != (owned, all, routers) {
+            self.told = (owned, all, routers);
+            self.host.tell(Event::Duties { owned, all, routers });
+        }
+    }
+
+    fn flush(&mut self, now: Duration) {
+        let peers: Vec<PeerName> = self.members.there().map(|card| card.name.clone()).collect();
+        self.next_flush = now + FLUSH.max(FLUSH_PER_PEER * peers.len() as u32);
+        for letter in self.book.outgoing(now, peers.len()) {
+            for peer in &peers {
+                self.members.send_to(peer, Body::News(letter.clone()), &mut self.host);
+            }
+        }
+    }
+
+    fn send_records(&mut self) {
+        let Self { records, members, host, .. } = self;
+        records.retain(|peer, letters| {
+            for _ in 0..RECORD_A_TICK {
+                let Some(news) = letters.pop() else { break };
+                members.send_to(peer, Body::News(news), host);
+            }
+            !letters.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/letter.rs
@@ -0,0 +1,85 @@
+//! What one router says to another. The bytes are another package's matter.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Life, PeerName, PingNo};
+
+/// So many cards travel with any letter, and so many in one that tells the whole view.
+pub const CARDS_ALONG: usize = 4;
+pub const CARDS_WHOLE: usize = 10;
+/// So many pieces of news fill a letter: with a sender and cards of the longest names it stays within a datagram.
+pub const NEWS_ALONG: usize = 10;
+
+/// How a router stands, worst last: of two words about the same life the worse one holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// Has started, and still asks for the record.
+    Joining,
+    Up,
+    /// Has not answered somebody, and may contradict.
+    Suspect,
+    /// Said itself that it goes.
+    Left,
+    Dead,
+}
+
+impl State {
+    /// Whether it may act, so that letters and duties go to it.
+    pub fn is_there(self) -> bool {
+        self <= Self::Suspect
+    }
+}
+
+/// What is known of a router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    pub name: PeerName,
+    pub life: Life,
+    /// Where the others reach it.
+    pub address: SocketAddr,
+    /// Place of its zone in the deployment's settings.
+    pub zone: u16,
+    /// Its share of duties beside that of others.
+    pub weight: u8,
+    pub state: State,
+}
+
+/// What a router found out about a node. Times are spans back from the sending, so that clocks need not agree;
+/// log positions are the node's own, on the deployment's clock.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub node: SocketAddr,
+    pub age: Duration,
+    pub position: Option<Duration>,
+    /// What it said of its role, and whether an answer itself said so.
+    pub primary: Option<bool>,
+    /// How many wait there.
+    pub waiting: Option<u32>,
+    /// When it started, where that is known.
+    pub started: Option<Duration>,
+    /// A probe of it failed; all else is then empty.
+    pub failed: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for a welcome, and for the record.
+    Hello,
+    /// A part of the view, to one who has said hello.
+    Welcome,
+    Ping(PingNo),
+    Ack(PingNo),
+    /// Asks the receiver to ping this peer and to pass on its ack.
+    PingFor(PingNo, PeerName),
+    News(Vec<News>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Letter {
+    pub from: Card,
+    pub body: Body,
+    pub cards: Vec<Card>,
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,20 @@
+//! The routers of one installation: who is there, who owns which periodic duty, and what they tell each other.
+//!
+//! No I/O, no clock, no threads: [`Fleet`] has one method for each thing that can happen and acts by calling its
+//! [`Host`]. Time is handed in as a span on a clock of the router's own that only goes forward; chance comes from
+//! the given seed. Start reading at `fleet.rs`; docs/duties.md says why things are as they are.
+
+pub mod book;
+pub mod duties;
+pub mod fleet;
+pub mod host;
+pub mod ids;
+pub mod letter;
+pub mod membership;
+pub mod rendezvous;
+pub mod scheduler;
+
+pub use fleet::{Fleet, Plans};
+pub use host::{Event, Evidence, Host};
+pub use ids::{Incarnation, Life, PeerName};
+pub use letter::{Body, Card, Letter, News, State};
--- /dev/null
+++ b/crates/lab/src/command.rs
@@ -0,0 +1,1 @@
+//! command
--- /dev/null
+++ b/crates/lab/src/detectors.rs
@@ -0,0 +1,1 @@
+//! detectors
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,1 @@
+//! experiment
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,472 @@
+//! Routers' fleets among emulated nodes in virtual time. The world keeps the books: who probed what when, what
+//! passed between routers, what each was told. It decides nothing that a router decides.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use quillpoint_datagram::Sealer;
+use quillpoint_datagram::keys::Keyring;
+use quillpoint_fleet::duties::Plan;
+use quillpoint_fleet::ids::{DutyId, KindId, Subject};
+use quillpoint_fleet::scheduler::Priority;
+use quillpoint_fleet::{
+    Body, Card, Event, Evidence, Fleet, Host, Incarnation, Letter, Life, News, PeerName, Plans, State,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::network::{Network, Place, Quality};
+use crate::queue::Queue;
+
+/// Virtual time starts here, far enough from zero for clocks that are off.
+pub const START: Duration = Duration::from_secs(1_000_000);
+/// So many datagrams wait for a router that has been stopped; the rest is lost, as in a socket's buffer.
+const BUFFER: usize = 256;
+/// A node that is down lets a probe run into this.
+const PROBE_TIME_OUT: Duration = Duration::from_millis(250);
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub routers: usize,
+    pub nodes: usize,
+    pub zones: usize,
+    pub quality: Quality,
+    pub plans: Plans,
+    /// Whether routers know of each other; without it each is alone, as routers that share nothing are.
+    pub shared: bool,
+    /// How far behind every node's log position is.
+    pub lag: Duration,
+    pub seed: u64,
+}
+
+pub fn plans(period: Duration, grace: Duration, floor: Duration) -> Plans {
+    let probe = Plan {
+        kind: KindId(0),
+        period,
+        grace,
+        floor,
+        longest: Duration::from_secs(1),
+        priority: Priority(0),
+        cost: 1.0,
+    };
+    Plans { probe, work_rate: 20_000.0, work_burst: 2_000.0, news_rate: 4e6 }
+}
+
+/// What a router asked for during one call, and the evidence it was given.
+#[derive(Default)]
+struct Wishes {
+    sent: Vec<(SocketAddr, Option<Incarnation>, Letter)>,
+    wake: Option<Duration>,
+    duties: Vec<DutyId>,
+    heard: Vec<Evidence>,
+    events: Vec<Event>,
+}
+
+#[derive(Clone, Default)]
+struct Desk(Rc<RefCell<Wishes>>);
+
+impl Host for Desk {
+    fn send(&mut self, to: SocketAddr, session: Option<Incarnation>, letter: Letter) {
+        self.0.borrow_mut().sent.push((to, session, letter));
+    }
+    fn wake(&mut self, after: Duration) {
+        self.0.borrow_mut().wake = Some(after);
+    }
+    fn perform(&mut self, duty: DutyId) {
+        self.0.borrow_mut().duties.push(duty);
+    }
+    fn hear(&mut self, evidence: Evidence) {
+        self.0.borrow_mut().heard.push(evidence);
+    }
+    fn tell(&mut self, event: Event) {
+        self.0.borrow_mut().events.push(event);
+    }
+}
+
+/// A process of a router.
+struct Process {
+    fleet: Fleet<Desk>,
+    desk: Desk,
+    start: Incarnation,
+    stopped: bool,
+    /// What came while it was stopped.
+    waiting: VecDeque<Happening>,
+}
+
+/// What a router has cost, and what it has seen.
+#[derive(Clone, Default)]
+pub struct Costs {
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// Time that its calls took on this machine, which no seed decides.
+    pub busy: Duration,
+    /// How often it took a router for dead that ran.
+    pub false_deaths: u64,
+}
+
+struct Router {
+    process: Option<Process>,
+    /// Grows with each process, so that what was meant for an earlier one is dropped.
+    life: u64,
+    /// How far its clock is ahead, or behind.
+    ahead: Duration,
+    behind: Duration,
+    costs: Costs,
+    events: Vec<(Duration, Event)>,
+    heard: BTreeMap<usize, Duration>,
+    /// The name and address it goes by: its own, unless a fault has given it another's.
+    name: usize,
+}
+
+struct Node {
+    zone: u16,
+    up: bool,
+    probes: Vec<(Duration, usize)>,
+    lag: Duration,
+}
+
+enum Happening {
+    Letter(Letter),
+    Timer,
+    ProbeEnded(DutyId, Option<Duration>),
+}
+
+enum Due {
+    Router { place: usize, life: u64, what: Happening },
+    Probe { node: usize, by: usize, life: u64, duty: DutyId },
+}
+
+pub struct World {
+    pub now: Duration,
+    shape: Shape,
+    pub network: Network,
+    chance: ChaCha8Rng,
+    queue: Queue<Due>,
+    routers: Vec<Router>,
+    nodes: Vec<Node>,
+    keys: Keyring,
+    sealer: Sealer,
+}
+
+/// Where a router listens, and where a node does.
+pub fn router_address(place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 1, (place / 250) as u8, (place % 250) as u8 + 1), 7400))
+}
+pub fn node_address(place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 2, (place / 250) as u8, (place % 250) as u8 + 1), 5432))
+}
+fn place_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { return usize::MAX };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 250 + usize::from(low) - 1
+}
+
+impl World {
+    pub fn new(shape: Shape) -> Self {
+        let node = |place: usize| Node {
+            zone: (place % shape.zones) as u16,
+            up: true,
+            probes: Vec::new(),
+            lag: shape.lag,
+        };
+        let router = |name: usize| Router {
+            process: None,
+            life: 0,
+            ahead: Duration::ZERO,
+            behind: Duration::ZERO,
+            costs: Costs::default(),
+            events: Vec::new(),
+            heard: BTreeMap::new(),
+            name,
+        };
+        let key = "ab".repeat(32);
+        let mut world = Self {
+            now: START,
+            network: Network::new(shape.quality),
+            chance: ChaCha8Rng::seed_from_u64(shape.seed),
+            queue: Queue::default(),
+            routers: (0..shape.routers).map(router).collect(),
+            nodes: (0..shape.nodes).map(node).collect(),
+            keys: Keyring::parse(&key).expect("64 digits"),
+            sealer: Sealer::default(),
+            shape,
+        };
+        (0..world.routers.len()).for_each(|place| world.start(place));
+        world
+    }
+
+    pub fn routers(&self) -> usize {
+        self.routers.len()
+    }
+
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// A router's own clock.
+    fn clock(&self, place: usize) -> Duration {
+        self.now + self.routers[place].ahead - self.routers[place].behind
+    }
+
+    /// A clock that is off from the router's next start on.
+    pub fn skew(&mut self, place: usize, ahead: Duration, behind: Duration) {
+        (self.routers[place].ahead, self.routers[place].behind) = (ahead, behind);
+    }
+
+    /// From its next start on the router goes by another's name, at its own address.
+    pub fn rename(&mut self, place: usize, name: usize) {
+        self.routers[place].name = name;
+    }
+
+    /// A new process, unless one runs.
+    pub fn start(&mut self, place: usize) {
+        if self.routers[place].process.is_some() {
+            return;
+        }
+        let now = self.clock(place);
+        let start = Incarnation(now.as_micros() as u64);
+        let zone = (place % self.shape.zones) as u16;
+        let me = Card {
+            name: PeerName::new(&format!("r{}", self.routers[place].name)).expect("a good name"),
+            life: Life { incarnation: start, version: 0 },
+            address: router_address(place),
+            zone,
+            weight: 1,
+            state: State::Joining,
+        };
+        // Three seeds are enough to be found by, and every router is configured alike.
+        let seeds = if self.shape.shared {
+            (0..self.routers.len().min(3)).map(router_address).collect()
+        } else {
+            vec![]
+        };
+        let desk = Desk::default();
+        let seed = self.shape.seed ^ ((place as u64) << 32) ^ self.routers[place].life;
+        let mut fleet = Fleet::new(desk.clone(), me, seeds, self.shape.plans, seed, now);
+        let nodes =
+            self.nodes.iter().enumerate().map(|(place, node)| (node_address(place), node.zone)).collect();
+        fleet.nodes_changed(now, &nodes);
+        let router = &mut self.routers[place];
+        router.life += 1;
+        router.heard.clear();
+        router.process = Some(Process { fleet, desk, start, stopped: false, waiting: VecDeque::new() });
+        self.carry_out(place);
+    }
+
+    /// As by SIGKILL.
+    pub fn kill(&mut self, place: usize) {
+        self.routers[place].process = None;
+        self.routers[place].life += 1;
+    }
+
+    /// As by SIGTERM: says goodbye and goes.
+    pub fn leave(&mut self, place: usize) {
+        let now = self.clock(place);
+        if let Some(process) = &mut self.routers[place].process {
+            process.fleet.leave(now);
+            self.carry_out(place);
+            self.kill(place);
+        }
+    }
+
+    pub fn stop(&mut self, place: usize) {
+        if let Some(process) = &mut self.routers[place].process {
+            process.stopped = true;
+        }
+    }
+
+    pub fn go_on(&mut self, place: usize) {
+        let Some(process) = &mut self.routers[place].process else { return };
+        process.stopped = false;
+        let waiting = std::mem::take(&mut process.waiting);
+        waiting.into_iter().for_each(|what| self.happen(place, what));
+    }
+
+    pub fn set_node(&mut self, node: usize, up: bool) {
+        self.nodes[node].up = up;
+    }
+
+    pub fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].up
+    }
+
+    pub fn runs(&self, place: usize) -> bool {
+        self.routers[place].process.as_ref().is_some_and(|process| !process.stopped)
+    }
+
+    pub fn fleet_size(&self, place: usize) -> Option<usize> {
+        self.routers[place].process.as_ref().map(|process| process.fleet.members().peers().count())
+    }
+
+    /// The names that this router takes to be there, itself included.
+    pub fn view(&self, place: usize) -> Vec<String> {
+        let Some(process) = &self.routers[place].process else { return Vec::new() };
+        let members = process.fleet.members();
+        let own = members.takes_part().then(|| members.me().name.to_string());
+        let mut names: Vec<String> = members.there().map(|card| card.name.to_string()).chain(own).collect();
+        names.sort();
+        names
+    }
+
+    /// How many duties the router heads the line for.
+    pub fn owned(&self, place: usize) -> usize {
+        self.routers[place].process.as_ref().map_or(0, |process| process.fleet.duties().owned().0)
+    }
+
+    pub fn probes(&self, node: usize) -> &[(Duration, usize)] {
+        &self.nodes[node].probes
+    }
+
+    pub fn costs(&self, place: usize) -> &Costs {
+        &self.routers[place].costs
+    }
+
+    pub fn events(&self, place: usize) -> &[(Duration, Event)] {
+        &self.routers[place].events
+    }
+
+    /// When the router last got evidence on the node, its own or others'.
+    pub fn heard(&self, place: usize, node: usize) -> Option<Duration> {
+        self.routers[place].heard.get(&node).copied()
+    }
+
+    /// A letter that one router never wrote, as from one that lies: its body, or its cards.
+    pub fn forge(&mut self, from: usize, to: usize, body: Body) {
+        self.forge_letter(from, to, body, Vec::new());
+    }
+
+    pub fn forge_cards(&mut self, from: usize, to: usize, cards: Vec<Card>) {
+        self.forge_letter(from, to, Body::News(Vec::new()), cards);
+    }
+
+    fn forge_letter(&mut self, from: usize, to: usize, body: Body, cards: Vec<Card>) {
+        let Some(process) = &self.routers[from].process else { return };
+        let letter = Letter { from: process.fleet.members().me().clone(), body, cards };
+        let life = self.routers[to].life;
+        self.queue.enter(self.now, Due::Router { place: to, life, what: Happening::Letter(letter) });
+    }
+
+    /// Lets everything happen that is due until then.
+    pub fn run_until(&mut self, until: Duration) {
+        while self.queue.next_at().is_some_and(|at| at <= until) {
+            self.step();
+        }
+        self.now = until;
+    }
+
+    /// One event; false when there is none.
+    pub fn step(&mut self) -> bool {
+        let Some((at, due)) = self.queue.take() else { return false };
+        self.now = at.max(self.now);
+        match due {
+            Due::Probe { node, by, life, duty } => self.probe_arrives(node, by, life, duty),
+            Due::Router { place, life, what } => {
+                if self.routers[place].life == life {
+                    self.happen(place, what);
+                }
+            }
+        }
+        true
+    }
+
+    fn probe_arrives(&mut self, node: usize, by: usize, life: u64, duty: DutyId) {
+        let (entry, now) = (&mut self.nodes[node], self.now);
+        entry.probes.push((now, by));
+        let (after, position) = match entry.up {
+            true => (self.network.delay(&mut self.chance), Some(now - entry.lag)),
+            false => (PROBE_TIME_OUT, None),
+        };
+        let what = Happening::ProbeEnded(duty, position);
+        self.queue.enter(now + after, Due::Router { place: by, life, what });
+    }
+
+    fn happen(&mut self, place: usize, what: Happening) {
+        let now = self.clock(place);
+        let router = &mut self.routers[place];
+        let Some(process) = &mut router.process else { return };
+        if process.stopped {
+            let letters = matches!(what, Happening::Letter(_));
+            if !letters || process.waiting.len() < BUFFER {
+                process.waiting.push_back(what);
+            }
+            return;
+        }
+        let began = Instant::now();
+        match what {
+            Happening::Letter(letter) => process.fleet.letter_arrived(now, letter),
+            Happening::Timer => process.fleet.timer_fired(now),
+            Happening::ProbeEnded(duty, position) => {
+                process.fleet.duty_ended(now, duty);
+                if let Subject::Node(node) = duty.subject {
+                    let primary = position.map(|_| false);
+                    let (age, failed) = (Duration::ZERO, position.is_none());
+                    let news = News { node, age, position, primary, waiting: None, started: None, failed };
+                    process.fleet.found(now, news);
+                    router.heard.insert(place_of(node), self.now);
+                }
+            }
+        }
+        router.costs.busy += began.elapsed();
+        self.carry_out(place);
+    }
+
+    /// Does what the router asked for.
+    fn carry_out(&mut self, place: usize) {
+        let Some(process) = &self.routers[place].process else { return };
+        let wishes = std::mem::take(&mut *process.desk.0.borrow_mut());
+        let life = self.routers[place].life;
+        if let Some(after) = wishes.wake {
+            self.queue.enter(self.now + after, Due::Router { place, life, what: Happening::Timer });
+        }
+        for evidence in &wishes.heard {
+            let router = &mut self.routers[place];
+            let at = (evidence.at + router.behind).saturating_sub(router.ahead);
+            let known = router.heard.entry(place_of(evidence.node)).or_default();
+            *known = at.max(*known);
+        }
+        for event in wishes.events {
+            if let Event::PeerChanged { peer, state: State::Dead, .. } = &event
+                && let Some(about) = peer.as_str().strip_prefix('r').and_then(|name| name.parse().ok())
+                && self.runs(about)
+            {
+                self.routers[place].costs.false_deaths += 1;
+            }
+            self.routers[place].events.push((self.now, event));
+        }
+        for (to, session, letter) in wishes.sent {
+            let sealed = self.sealer.seal(&self.keys, session, &letter).expect("letters fit");
+            let router = &mut self.routers[place];
+            router.costs.datagrams += 1;
+            router.costs.bytes += sealed.len() as u64;
+            let to = place_of(to);
+            let Some(other) = self.routers.get(to) else { continue };
+            let own = other.process.as_ref().map(|process| process.start);
+            // What the package of datagrams refuses: a letter to another start that does not say hello.
+            let taken = session.is_none_or(|session| {
+                own == Some(session)
+                    || other
+                        .process
+                        .as_ref()
+                        .is_some_and(|process| process.fleet.members().me().life.incarnation == session)
+            });
+            if !taken || (session.is_none() && letter.body != Body::Hello) {
+                continue;
+            }
+            let life = other.life;
+            for after in self.network.arrivals(&mut self.chance, Place(place), Place(to)) {
+                let what = Happening::Letter(letter.clone());
+                self.queue.enter(self.now + after, Due::Router { place: to, life, what });
+            }
+        }
+        for duty in wishes.duties {
+            let Subject::Node(node) = duty.subject else { continue };
+            let after = self.network.delay(&mut self.chance);
+            let due = Due::Probe { node: place_of(node), by: place, life, duty };
+            self.queue.enter(self.now + after, due);
+        }
+    }
+}
