quillpoint.conf, structured log, and the fleet on sockets: peers share probing and what it finds

Need: the decisions of crates/fleet on real sockets, off unless quillpoint.conf puts the router in a fleet. The engine asks may_pass before an ok goes out and tells what it finds; the pool leaves a probe to its owner.

--- a/crates/fleet/src/letter.rs
+++ b/crates/fleet/src/letter.rs
@@ -54,7 +54,7 @@
     pub node: SocketAddr,
     pub age: Duration,
     pub position: Option<Duration>,
-    /// What it said of its role, and whether an answer itself said so.
+    /// What it said of its role.
     pub primary: Option<bool>,
     /// How many wait there.
     pub waiting: Option<u32>,
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -6,20 +6,23 @@
 use lexopt::Parser;
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
-use crate::config::Launch;
+use crate::briefing::{self, Briefing, Files, Refusal};
+use crate::events;
 use crate::serve::serve;
 
 const HELP: &str = "\
 quillpoint: a proxy before a primary and its replicas
 
-Usage: quillpoint [serve | check | version] [--config FILE]
+Usage: quillpoint [serve | check | reference | version] [--config FILE] [--conf FILE]
 
   serve     run one router until SIGTERM (what is done when nothing is said); SIGHUP has it read its
             configuration anew
-  check     read the configuration and say what is wrong with it
+  check     read the configuration and say what is wrong with it, or else what holds
+  reference print the page of all directives of quillpoint.conf
   version   print the version
 
-  -c, --config FILE   the configuration, in place of the variable GW_CONFIG
+  -c, --config FILE   the platform's JSON, in place of the variable GW_CONFIG
+      --conf FILE     quillpoint.conf: all that the platform does not know of, as the router's fleet
   -h, --help          print this
 
 GW_NAME, GW_LISTEN and GW_DISCOVERY win over the file. RUST_LOG sets what is logged (info).
@@ -31,12 +34,13 @@
 enum Deed {
     Serve,
     Check,
+    Reference,
     Version,
     Help,
 }
 
 pub fn run(words: Parser) -> ExitCode {
-    let (deed, file) = match read(words) {
+    let (deed, files) = match read(words) {
         Ok(read) => read,
         Err(error) => {
             eprintln!("quillpoint: {error}; see quillpoint --help");
@@ -46,42 +50,54 @@
     match deed {
         Deed::Help => print!("{HELP}"),
         Deed::Version => println!("quillpoint {}", env!("CARGO_PKG_VERSION")),
-        Deed::Serve | Deed::Check => {
-            let level = env_logger::Env::default().default_filter_or("info");
-            env_logger::Builder::from_env(level).format_timestamp_millis().init();
-            let launch = match Launch::read(file.as_deref(), variable) {
-                Ok(launch) => launch,
-                Err(fault) => {
-                    eprintln!("quillpoint: {fault}");
-                    return ExitCode::from(MISUSED);
-                }
-            };
-            if matches!(deed, Deed::Check) {
-                println!("the configuration is in order");
-            } else if let Err(error) = serve(launch, move || Launch::reread(file.as_deref(), variable)) {
-                eprintln!("quillpoint: {error}");
-                return ExitCode::FAILURE;
+        Deed::Reference => print!("{}", quillpoint_conf::page::reference()),
+        Deed::Check | Deed::Serve => {
+            if let Err(refusal) = run_with(matches!(deed, Deed::Check), files) {
+                return refusal;
             }
         }
     }
     ExitCode::SUCCESS
 }
 
+fn run_with(check: bool, files: Files) -> Result<(), ExitCode> {
+    let misused = |refusal: Refusal| {
+        refusal.to_string().lines().for_each(|line| eprintln!("quillpoint: {line}"));
+        ExitCode::from(MISUSED)
+    };
+    // How to log is said there, and the rest may have something to log.
+    let conf = briefing::conf(&files).map_err(misused)?;
+    events::start(conf.is_some_and(|conf| conf.word("", "", "log") == Some("json")));
+    let briefing = Briefing::read(&files, variable).map_err(misused)?;
+    if check {
+        if let Some(conf) = &briefing.conf {
+            print!("{}", conf.written());
+        }
+        println!("the configuration is in order");
+        return Ok(());
+    }
+    serve(briefing, move || Briefing::reread(&files, variable)).map_err(|error| {
+        eprintln!("quillpoint: {error}");
+        ExitCode::FAILURE
+    })
+}
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
 
-fn read(mut words: Parser) -> Result<(Deed, Option<PathBuf>), lexopt::Error> {
-    let (mut deed, mut file) = (None, None);
+fn read(mut words: Parser) -> Result<(Deed, Files), lexopt::Error> {
+    let (mut deed, mut files) = (None, Files::default());
     while let Some(word) = words.next()? {
         match word {
-            Short('h') | Long("help") => return Ok((Deed::Help, None)),
-            Short('V') | Long("version") => return Ok((Deed::Version, None)),
-            Short('c') | Long("config") => file = Some(PathBuf::from(words.value()?)),
+            Short('h') | Long("help") => return Ok((Deed::Help, files)),
+            Short('V') | Long("version") => return Ok((Deed::Version, files)),
+            Short('c') | Long("config") => files.platform = Some(PathBuf::from(words.value()?)),
+            Long("conf") => files.conf = Some(PathBuf::from(words.value()?)),
             Value(name) if deed.is_none() => {
                 deed = Some(match name.string()?.as_str() {
                     "serve" => Deed::Serve,
                     "check" => Deed::Check,
+                    "reference" => Deed::Reference,
                     "version" => Deed::Version,
                     other => return Err(format!("there is no command '{other}'").into()),
                 });
@@ -89,5 +105,5 @@
             other => return Err(other.unexpected()),
         }
     }
-    Ok((deed.unwrap_or(Deed::Serve), file))
+    Ok((deed.unwrap_or(Deed::Serve), files))
 }
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -4,7 +4,7 @@
 //! RPC's own task, probes and closings to the pool, asks for the list to the directory. So nothing calls the
 //! module from inside one of its own calls.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -15,7 +15,8 @@
 use futures_lite::FutureExt;
 use quillpoint::Router;
 use quillpoint::host::{
-    CallEnd, CallNo, Extent, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc, RpcId, TenantId,
+    CallEnd, CallNo, Extent, Host, Listed, MethodId, NodeId, Outcome, PeerWord, Report, Role, Rpc, RpcId,
+    TenantId, ZoneId,
 };
 
 use crate::deployment::Deployment;
@@ -64,9 +65,35 @@
 /// What the pool is asked for.
 pub enum Chore {
     Probe(NodeId),
+    /// A probe that is this router's duty towards others, and not asked for by its own module.
+    ProbeInTurn(NodeId),
     CloseIdle(NodeId),
 }
 
+/// What this router has found out about a node by itself.
+pub struct Finding {
+    pub node: NodeId,
+    /// When it was asked.
+    pub asked: Duration,
+    /// By a probe; it has ended then.
+    pub probe: bool,
+    /// The probe came to no answer.
+    pub failed: bool,
+    pub position: Option<Duration>,
+    pub primary: Option<bool>,
+    pub waiting: Option<f64>,
+    pub started: Option<Duration>,
+}
+
+/// Whoever shares with other routers what is found here.
+pub trait Sharing {
+    fn found(&self, finding: Finding);
+    /// The list of nodes has changed.
+    fn listed(&self);
+    /// Whether a probe that the module asks for is to be made here, or left to another router.
+    fn may_probe(&self, node: NodeId) -> bool;
+}
+
 /// What a node's answer told.
 #[derive(Default)]
 pub struct Heard {
@@ -176,6 +203,7 @@
     listed: Cell<bool>,
     /// When the router ends, once it has been told to.
     ends: Cell<Option<Duration>>,
+    sharing: OnceCell<Rc<dyn Sharing>>,
 }
 
 /// Where the module's work for others arrives.
@@ -211,7 +239,8 @@
         });
         let router = RefCell::new(Router::new(Hand(Rc::clone(&desk)), seed, values, clock.now()));
         let (next_rpc, listed, ends) = (Cell::new(0), Cell::new(false), Cell::new(None));
-        let engine = Self { clock, desk, router, methods, next_rpc, listed, ends };
+        let sharing = OnceCell::new();
+        let engine = Self { clock, desk, router, methods, next_rpc, listed, ends, sharing };
         (Rc::new(engine), Work { chores: chores_in, list: list_in })
     }
 
@@ -224,8 +253,13 @@
         }
     }
 
-    fn end(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
+    fn end(&self, call_out: CallOut, mut outcome: Outcome, heard: Heard) {
         let CallOut { rpc, call, node, at, .. } = call_out;
+        let now = self.clock.now();
+        if outcome == Outcome::Ok && !self.router.borrow().may_pass(now, rpc, call, heard.position) {
+            log::debug!("{}: an answer that does not show that it is fresh", node.0);
+            outcome = Outcome::Spoilt;
+        }
         if let Some(answer) = heard.answer.filter(|_| outcome == Outcome::Ok) {
             // The first ok goes to the client by itself.
             self.desk.finish(rpc, |_| Order::Answer(answer));
@@ -237,10 +271,72 @@
             }
             None => true,
         };
-        let took = self.clock.now().saturating_sub(at);
+        let took = now.saturating_sub(at);
         let (role, position, report) = (heard.role, heard.position, heard.report);
         let end = CallEnd { rpc, call, node, outcome, finished, took, role, position, report };
-        self.router.borrow_mut().call_ended(self.clock.now(), end);
+        self.router.borrow_mut().call_ended(now, end);
+        // A commit is rounded up, so that as a position it is told a millisecond lower.
+        let position = position.map(|at| at.saturating_sub(Duration::from_millis(1)));
+        let position = position.max(report.and_then(|report| report.position));
+        if position.is_some() || role.is_some() {
+            let primary = role.map(|role| role == Role::Primary);
+            let waiting = report.and_then(|report| report.waiting);
+            self.share(node, at, false, false, (position, primary, waiting));
+        }
+    }
+
+    /// The one place where what was found here goes on to others.
+    fn share(
+        &self,
+        node: NodeId,
+        asked: Duration,
+        probe: bool,
+        failed: bool,
+        (position, primary, waiting): (Option<Duration>, Option<bool>, Option<f64>),
+    ) {
+        if let Some(sharing) = self.sharing.get() {
+            let started = self.router.borrow().started(node);
+            sharing.found(Finding { node, asked, probe, failed, position, primary, waiting, started });
+        }
+    }
+
+    /// From now on others hear of what is found here. Called once.
+    pub fn share_with(&self, sharing: Rc<dyn Sharing>) {
+        if self.sharing.set(sharing).is_ok()
+            && let Some(sharing) = self.sharing.get()
+        {
+            sharing.listed();
+        }
+    }
+
+    /// What other routers have found out.
+    pub fn peer_told(&self, word: PeerWord) {
+        self.tell(|router, now| router.peer_told(now, word));
+    }
+
+    /// A probe that is this router's duty. False if one is out there already.
+    pub fn probe_in_turn(&self, node: NodeId) -> bool {
+        let goes = self.router.borrow_mut().probe_in_turn(node);
+        goes && self.desk.chores.try_send(Chore::ProbeInTurn(node)).is_ok()
+    }
+
+    /// Whether a probe that the module has asked for is to be made here. One that is not has ended.
+    pub fn may_probe(&self, node: NodeId) -> bool {
+        let may = self.sharing.get().is_none_or(|sharing| sharing.may_probe(node));
+        if !may {
+            self.tell(|router, now| router.probe_ended(now, node, Outcome::Cancelled, None));
+        }
+        may
+    }
+
+    /// Whether only an own probe tells this router anything of the node.
+    pub fn is_shut(&self, node: NodeId) -> bool {
+        self.router.borrow().is_shut(node)
+    }
+
+    /// The nodes on the list, with the places of their zones.
+    pub fn nodes(&self) -> Vec<(NodeId, ZoneId)> {
+        self.router.borrow().nodes().collect()
     }
 
     /// Whether RPCs can be decided: the list of nodes has come.
@@ -314,13 +410,19 @@
         self.tell(|_, _| ());
     }
 
-    pub fn probe_ended(&self, node: NodeId, outcome: Outcome, report: Option<Report>) {
+    pub fn probe_ended(&self, node: NodeId, asked: Duration, outcome: Outcome, report: Option<Report>) {
         self.tell(|router, now| router.probe_ended(now, node, outcome, report));
+        let failed = !matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+        let report = report.filter(|_| !failed).unwrap_or_default();
+        self.share(node, asked, true, failed, (report.position, report.primary, report.waiting));
     }
 
     pub fn list_changed(&self, extent: Extent, lines: &[Listed]) {
         self.listed.set(self.listed.get() || !lines.is_empty());
         self.tell(|router, now| router.list_changed(now, extent, lines));
+        if let Some(sharing) = self.sharing.get().filter(|_| !lines.is_empty()) {
+            sharing.listed();
+        }
     }
 
     pub fn list_failed(&self) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,8 +1,9 @@
 //! quillpoint on sockets: a router between PostgreSQL clients and a primary with its replicas.
 //!
-//! [`config::Launch`] holds what a router is told; [`serve::serve`] runs one until it has drained. Every
+//! [`briefing::Briefing`] holds what a router is told; [`serve::serve`] runs one until it has drained. Every
 //! choice is made by the `quillpoint` package; this one carries it out.
 
+pub mod briefing;
 pub mod budget;
 pub mod client;
 pub mod command;
@@ -12,8 +13,11 @@
 pub mod directory;
 pub mod drain;
 pub mod engine;
+pub mod events;
 pub mod list;
 pub mod open_ids;
+pub mod part;
+pub mod peers;
 pub mod pg;
 pub mod pool;
 pub mod seldom;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -127,8 +127,10 @@
                         node.idle.clear();
                     }
                 }
-                Chore::Probe(node) => {
+                Chore::Probe(node) if !engine.may_probe(node) => {}
+                Chore::Probe(node) | Chore::ProbeInTurn(node) => {
                     let (pool, engine) = (Rc::clone(&self), Rc::clone(&engine));
+                    let asked = engine.clock.now();
                     let probe = async move {
                         let until = Instant::now() + pool.connect_time_out;
                         let (outcome, heard) = pool.exchange(node, until, |_| Some(pg::query(PROBE))).await;
@@ -136,7 +138,7 @@
                         let row = heard.answer.and_then(|answer| answer.value);
                         let row = row.and_then(|bytes| String::from_utf8(bytes).ok());
                         let report = row.and_then(|text| pool.report(&text)).or(heard.report);
-                        engine.probe_ended(node, outcome, report);
+                        engine.probe_ended(node, asked, outcome, report);
                     };
                     self.executor.spawn(probe).detach();
                 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -7,38 +7,49 @@
 use async_io::Async;
 use quillpoint::host::Extent;
 
+use crate::briefing::{Briefing, Refusal};
 use crate::budget::Budget;
 use crate::client::Clients;
-use crate::config::Launch;
-use crate::deployment::Fault;
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
 use crate::drain;
-use crate::engine::Engine;
+use crate::engine::{Engine, Sharing};
+use crate::events;
+use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::signals;
 
 /// Serves until told to stop and drained. On SIGHUP `reread` is called for what holds from then on.
-pub fn serve(launch: Launch, reread: impl Fn() -> Result<Launch, Fault> + 'static) -> std::io::Result<()> {
+pub fn serve(
+    briefing: Briefing,
+    reread: impl Fn() -> Result<Briefing, Refusal> + 'static,
+) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(launch, reread, Rc::clone(&executor))))
+    async_io::block_on(executor.run(run(briefing, reread, Rc::clone(&executor))))
 }
 
 async fn run(
-    launch: Launch,
-    reread: impl Fn() -> Result<Launch, Fault> + 'static,
+    briefing: Briefing,
+    reread: impl Fn() -> Result<Briefing, Refusal> + 'static,
     executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
     // Before anything else: a signal that comes early must not end the process.
     let signals = signals::caught()?;
+    let launch = &briefing.launch;
     let deployment = &launch.deployment;
     let descriptors = Descriptors::new(launch.sockets);
     let listener = Rc::new(Async::<TcpListener>::bind(launch.listen)?);
     let listener_slot = descriptors.take().await;
     let (engine, work) = Engine::new(launch.seed, deployment);
+    events::whose(&launch.name, engine.clock.now().as_micros() as u64);
     let (directory, known) =
         Directory::new(launch.discovery, deployment, &launch.known, Rc::clone(&descriptors));
     engine.list_changed(Extent::Remembered, &known);
+    let peers = match &briefing.part {
+        Some(part) => Some(Peers::new(part.clone(), Rc::clone(&engine), launch.seed)?),
+        None => None,
+    };
+    let peers_slot = if peers.is_some() { Some(descriptors.take().await) } else { None };
     let (coming, held) = (Budget::new(launch.coming), Budget::new(launch.held));
     let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), Rc::clone(&held), deployment);
     let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
@@ -47,16 +58,27 @@
     executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
+    if let Some(peers) = &peers {
+        engine.share_with(Rc::clone(peers) as Rc<dyn Sharing>);
+        executor.spawn(Rc::clone(peers).listen()).detach();
+        executor.spawn(Rc::clone(peers).keep_time()).detach();
+    }
     let timed = Rc::clone(&engine);
     executor.spawn(async move { timed.keep_time().await }).detach();
     let accepting = executor.spawn(Rc::clone(&clients).accept(Rc::clone(&listener)));
     let address = listener.get_ref().local_addr()?;
-    log::info!("{} serves at {address}, {} nodes known", launch.name, known.len());
+    log::info!(
+        event = "serves", address:% = address, nodes = known.len();
+        "{} serves at {address}, {} nodes known", launch.name, known.len()
+    );
     let (stop, stopped) = async_channel::bounded(1);
-    executor.spawn(signals::obey(signals, launch, reread, moves, stop)).detach();
+    executor.spawn(signals::obey(signals, briefing, reread, (moves, peers.clone()), stop)).detach();
     _ = stopped.recv().await;
     drain::drain(&clients, &engine, listener, accepting).await;
-    drop(listener_slot);
-    log::info!("drained");
+    if let Some(peers) = &peers {
+        peers.leave();
+    }
+    drop((listener_slot, peers_slot));
+    log::info!(event = "drained"; "drained");
     Ok(())
 }
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -1,13 +1,14 @@
 //! What a running router is told by signals: to stop, and to read its configuration anew.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
-use crate::config::Launch;
-use crate::deployment::Fault;
+use crate::briefing::{Briefing, Refusal};
+use crate::peers::Peers;
 
 /// From here on none of these ends the process by itself.
 pub fn caught() -> std::io::Result<Signals> {
@@ -17,14 +18,14 @@
 /// Obeys as long as the process runs, so also while it drains.
 pub async fn obey(
     mut signals: Signals,
-    mut launch: Launch,
-    reread: impl Fn() -> Result<Launch, Fault>,
-    moves: Sender<SocketAddr>,
+    mut briefing: Briefing,
+    reread: impl Fn() -> Result<Briefing, Refusal>,
+    (moves, peers): (Sender<SocketAddr>, Option<Rc<Peers>>),
     stop: Sender<()>,
 ) {
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => reload(&mut launch, reread(), &moves),
+            Ok(Signal::Hup) => reload(&mut briefing, reread(), &moves, peers.as_deref()),
             Ok(_) => {
                 // Later ones change nothing.
                 if stop.close() {
@@ -36,18 +37,28 @@
     }
 }
 
-/// Takes over where discovery is. All else that differs shapes what stands by now, and waits for a restart.
-fn reload(launch: &mut Launch, told: Result<Launch, Fault>, moves: &Sender<SocketAddr>) {
+/// Takes over where discovery is, and where peers are and by which keys they speak. All else that differs shapes
+/// what stands by now, and waits for a restart.
+fn reload(
+    briefing: &mut Briefing,
+    told: Result<Briefing, Refusal>,
+    moves: &Sender<SocketAddr>,
+    peers: Option<&Peers>,
+) {
     let told = match told {
         Ok(told) => told,
         Err(fault) => return log::warn!("configuration not taken over: {fault}"),
     };
-    for key in launch.held_back(&told) {
+    for key in briefing.held_back(&told) {
         log::warn!("configuration: {key} has changed, which holds from the next start on");
     }
-    log::info!("configuration read anew, discovery at {}", told.discovery);
-    if told.discovery != launch.discovery {
-        launch.discovery = told.discovery;
-        _ = moves.try_send(told.discovery);
+    if let Some((peers, part)) = peers.zip(told.part.as_ref()) {
+        peers.reload(part);
+    }
+    let discovery = told.launch.discovery;
+    log::info!("configuration read anew, discovery at {discovery}");
+    if discovery != briefing.launch.discovery {
+        briefing.launch.discovery = discovery;
+        _ = moves.try_send(discovery);
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -335,6 +335,11 @@
         self.members.get(&node).is_some_and(|member| member.shut)
     }
 
+    /// When the node started, where that is known.
+    pub fn started(&self, node: NodeId) -> Option<Duration> {
+        self.members.get(&node)?.started
+    }
+
     /// The nodes that are on the list.
     pub fn nodes(&self) -> impl Iterator<Item = (NodeId, ZoneId)> {
         self.members.iter().filter(|(_, member)| !member.gone).map(|(node, member)| (*node, member.zone))
