measure/duties: three router processes share probing through kills, stops, loss and restarts

Need: the issue's one command, and stand-ins for whole fleets that tests can use too (package rig). Change: rig (stores with books, discovery, a lossy relay of datagrams, processes, clients, a measurement with bounds).

--- /dev/null
+++ b/crates/rig/src/bin/duties.rs
@@ -0,0 +1,399 @@
+//! `measure/duties`: three router processes share probing among stand-ins while they are killed, stopped, cut off one
+//! way, restarted all at once and told to stop. Prints one JSON line last, and fails where a bound is broken.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread::sleep;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use lexopt::prelude::{Long, ValueExt};
+use quillpoint_rig::listing::{Entry, Listing, targets};
+use quillpoint_rig::load::{Load, Outages};
+use quillpoint_rig::now;
+use quillpoint_rig::routers::{Bond, Routers, Setting};
+use quillpoint_rig::store::{Node, Store};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+const ROUTERS: usize = 3;
+/// The bounds of a run.
+const LONGEST_GAP: f64 = 2.0;
+/// Shared probing costs at most this part of what three routers alone cost together.
+const SHARED_PART: f64 = 0.5;
+/// A fleet has settled by then.
+const SETTLED: Duration = Duration::from_millis(1500);
+
+const HELP: &str = "\
+Usage: measure/duties [--long] [--seed N] [--record FILE]
+
+  --long          fifty kills, and longer spans between faults
+  --seed N        what is drawn by chance: whom to kill, and when (1)
+  --record FILE   one JSON line for each phase
+";
+
+struct Wanted {
+    long: bool,
+    seed: u64,
+    program: PathBuf,
+    folder: PathBuf,
+    record: Option<PathBuf>,
+}
+
+fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
+    let mut wanted = Wanted {
+        long: false,
+        seed: 1,
+        program: PathBuf::from("target/release/quillpoint"),
+        folder: PathBuf::from("target/measure-duties"),
+        record: None,
+    };
+    let mut words = lexopt::Parser::from_env();
+    while let Some(word) = words.next()? {
+        match word {
+            Long("long") => wanted.long = true,
+            Long("seed") => wanted.seed = words.value()?.parse()?,
+            Long("program") => wanted.program = words.value()?.into(),
+            Long("folder") => wanted.folder = words.value()?.into(),
+            Long("record") => wanted.record = Some(words.value()?.into()),
+            Long("help") => return Ok(None),
+            other => return Err(other.unexpected()),
+        }
+    }
+    wanted.program = std::fs::canonicalize(&wanted.program).unwrap_or(wanted.program);
+    wanted.folder = std::path::absolute(&wanted.folder).unwrap_or(wanted.folder);
+    Ok(Some(wanted))
+}
+
+/// What a phase has shown.
+#[derive(Default, Serialize)]
+struct Phase {
+    phase: &'static str,
+    seconds: f64,
+    /// The longest time in which nothing told any router of a node, over all nodes, and quantiles of such times.
+    gap_max_s: f64,
+    gap_p99_s: f64,
+    gap_p50_s: f64,
+    /// Probes a second of a node that gets no RPCs, in the mean and at the most.
+    probes_per_quiet_node_s: f64,
+    probes_per_node_s_max: f64,
+    /// Processor time a second, and resident memory, of the mean router.
+    cpu_part: f64,
+    resident_mb: f64,
+}
+
+/// The last line.
+#[derive(Serialize)]
+struct Figures {
+    probe_gap_max_s: f64,
+    probes_per_node_s_shared: f64,
+    probes_per_node_s_alone: f64,
+    probes_per_node_s_off: f64,
+    take_over_max_s: f64,
+    kills: usize,
+    rpcs: u64,
+    ok: u64,
+    pushed_back: u64,
+    aborted: u64,
+    cut: u64,
+    lost: u64,
+    doubled: u64,
+    stale: u64,
+    entered_missing: usize,
+    refused_but_ran: usize,
+    cold_part: f64,
+    false_deaths: usize,
+    p50_ms: f64,
+    p99_ms: f64,
+    seed: u64,
+    broken: Vec<String>,
+}
+
+struct Bench {
+    busy: Store,
+    quiet: Store,
+    phases: Vec<Phase>,
+}
+
+impl Bench {
+    fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.busy.nodes.iter().chain(&self.quiet.nodes)
+    }
+
+    fn gap(&self, from: Duration, to: Duration) -> f64 {
+        self.nodes().map(|node| node.longest_gap(from, to)).max().unwrap_or_default().as_secs_f64()
+    }
+
+    /// Enters what has been seen since then.
+    fn phase(&mut self, name: &'static str, from: Duration, routers: &Routers, used: &[Duration]) {
+        let (to, seconds) = (now(), (now() - from).as_secs_f64());
+        let mut times = Histogram::<u64>::new(3).expect("three digits");
+        for gap in self.nodes().flat_map(|node| node.gaps(from, to)) {
+            times.saturating_record(gap.as_micros() as u64);
+        }
+        let rate = |node: &Node| node.probes(from) as f64 / seconds;
+        let quiet = self.quiet.nodes.iter().map(rate).sum::<f64>() / self.quiet.nodes.len() as f64;
+        let usage: Vec<_> =
+            (0..ROUTERS).filter_map(|place| routers.usage(place).map(|usage| (place, usage))).collect();
+        let cpu: f64 =
+            usage.iter().map(|(place, (_, time))| time.saturating_sub(used[*place]).as_secs_f64()).sum();
+        let resident: f64 = usage.iter().map(|(_, (bytes, _))| *bytes as f64).sum();
+        let count = usage.len().max(1) as f64;
+        let phase = Phase {
+            phase: name,
+            seconds,
+            gap_max_s: self.gap(from, to),
+            gap_p99_s: times.value_at_quantile(0.99) as f64 / 1e6,
+            gap_p50_s: times.value_at_quantile(0.5) as f64 / 1e6,
+            probes_per_quiet_node_s: quiet,
+            probes_per_node_s_max: self.nodes().map(rate).fold(0.0, f64::max),
+            cpu_part: cpu / count / seconds,
+            resident_mb: resident / count / 1e6,
+        };
+        println!(
+            "{name:>20}: {seconds:5.1} s, longest gap {:.3} s, {:.2} probes a second of a quiet node, {:.1}% of a core, {:.1} MB",
+            phase.gap_max_s,
+            phase.probes_per_quiet_node_s,
+            phase.cpu_part * 100.0,
+            phase.resident_mb
+        );
+        self.phases.push(phase);
+    }
+
+    fn last(&self, name: &str) -> &Phase {
+        self.phases.iter().rfind(|phase| phase.phase == name).expect("each phase is played")
+    }
+}
+
+fn used(routers: &Routers) -> Vec<Duration> {
+    (0..ROUTERS).map(|place| routers.usage(place).map_or(Duration::ZERO, |(_, time)| time)).collect()
+}
+
+fn entries<'a>(busy: &'a Store, quiet: &'a Store, cold: Option<Duration>) -> Vec<Entry<'a>> {
+    let entry = |(group, place, node): (u64, usize, &'a Node)| Entry {
+        node,
+        group,
+        started: cold.filter(|_| (group, place) == (0, 1)).unwrap_or_default(),
+    };
+    let busy = busy.nodes.iter().enumerate().map(|(place, node)| (0, place, node));
+    let quiet = quiet.nodes.iter().enumerate().map(|(place, node)| (1, place, node));
+    busy.chain(quiet).map(entry).collect()
+}
+
+fn kill_and_restart(
+    routers: &mut Routers,
+    outages: &Outages,
+    place: usize,
+    down: Duration,
+) -> std::io::Result<()> {
+    outages.begin(place);
+    routers.kill(place);
+    sleep(down);
+    routers.start(place)?;
+    outages.end(place);
+    Ok(())
+}
+
+fn measure(wanted: &Wanted) -> std::io::Result<Figures> {
+    let ms = Duration::from_millis;
+    let span = |short: u64, long: u64| ms(if wanted.long { long } else { short });
+    let mut chance = ChaCha8Rng::seed_from_u64(wanted.seed);
+    let (busy, quiet) = (Store::start(&[ms(20), ms(20), ms(5000)])?, Store::start(&[ms(20), ms(20)])?);
+    let list = targets(&entries(&busy, &quiet, None));
+    let listing = Listing::start(list.clone())?;
+    let mut bench = Bench { busy, quiet, phases: Vec::new() };
+    let setting = |bond| Setting {
+        program: &wanted.program,
+        folder: &wanted.folder,
+        listing: &listing,
+        targets: &list,
+        bond,
+        seed: wanted.seed,
+        conf: "",
+    };
+
+    let mut routers = Routers::new(ROUTERS, &setting(Bond::Fleet))?;
+    routers.start_all()?;
+    let addresses: Vec<_> = routers.all.iter().map(|router| router.address).collect();
+    let load = Load::start(&addresses, 8, ms(100));
+    let outages = std::sync::Arc::clone(&load.outages);
+    sleep(SETTLED);
+    let begun = now();
+    let (from, before) = (now(), used(&routers));
+    sleep(span(3000, 30_000));
+    bench.phase("shared", from, &routers, &before);
+
+    let (kills, from, before) = (if wanted.long { 50 } else { 8 }, now(), used(&routers));
+    let mut take_over: f64 = 0.0;
+    for _ in 0..kills {
+        let (place, at) = (chance.random_range(0..ROUTERS), now());
+        kill_and_restart(&mut routers, &outages, place, ms(chance.random_range(50..600)))?;
+        sleep(ms(chance.random_range(300..900)));
+        // What the killed one owned must have been probed again by others: no gap that begins around the kill.
+        take_over = take_over.max(
+            bench
+                .quiet
+                .nodes
+                .iter()
+                .map(|node| node.longest_gap(at, now()))
+                .max()
+                .unwrap_or_default()
+                .as_secs_f64(),
+        );
+    }
+    bench.phase("kills", from, &routers, &before);
+    sleep(SETTLED);
+
+    let (from, before) = (now(), used(&routers));
+    outages.begin(1);
+    routers.signal(1, "-STOP");
+    sleep(ms(3000));
+    routers.signal(1, "-CONT");
+    sleep(ms(700));
+    outages.end(1);
+    sleep(ms(500));
+    bench.phase("stop and continue", from, &routers, &before);
+    let stopped = routers.lines(1).iter().any(|line| line.contains("\"fleet_stopped\""));
+
+    sleep(SETTLED);
+    let deaths = |routers: &Routers| {
+        let dead = |line: &&String| line.contains("\"fleet_peer\"") && line.contains("\"state\":\"Dead\"");
+        (0..ROUTERS).map(|place| routers.lines(place).iter().filter(dead).count()).sum::<usize>()
+    };
+    let (from, before, dead) = (now(), used(&routers), deaths(&routers));
+    routers.lose(0, 2, 1.0);
+    sleep(span(3000, 20_000));
+    let false_deaths = deaths(&routers) - dead;
+    bench.phase("one way lost", from, &routers, &before);
+    routers.heal();
+
+    let from = now();
+    listing.change(targets(&entries(&bench.busy, &bench.quiet, Some(from))));
+    sleep(ms(1500));
+    // What reached the cold node in its first second or so, against its warm sister.
+    let (cold, warm) = (&bench.busy.nodes[1], &bench.busy.nodes[2]);
+    let cold_part = cold.rpcs(from, now()) as f64 / warm.rpcs(from, now()).max(1) as f64;
+
+    let (from, before) = (now(), used(&routers));
+    outages.begin(0);
+    routers.signal(0, "-TERM");
+    let drained = routers.ended(0);
+    routers.start(0)?;
+    outages.end(0);
+    bench.phase("planned leave", from, &routers, &before);
+    let to = now();
+    let gap = bench.gap(begun, to);
+
+    (0..ROUTERS).for_each(|place| outages.begin(place));
+    (0..ROUTERS).for_each(|place| routers.kill(place));
+    let from = now();
+    routers.start_all()?;
+    (0..ROUTERS).for_each(|place| outages.end(place));
+    sleep(SETTLED);
+    bench.phase("all restarted", from, &routers, &[Duration::ZERO; ROUTERS]);
+    let tally = load.end();
+    drop(routers);
+
+    for (bond, name) in [(Bond::Alone, "alone"), (Bond::Off, "off")] {
+        let mut routers = Routers::new(ROUTERS, &setting(bond))?;
+        routers.start_all()?;
+        let addresses: Vec<_> = routers.all.iter().map(|router| router.address).collect();
+        let load = Load::start(&addresses, 8, ms(100));
+        sleep(SETTLED);
+        let (from, before) = (now(), used(&routers));
+        sleep(span(3000, 30_000));
+        bench.phase(name, from, &routers, &before);
+        load.end();
+    }
+
+    let count = |count: &std::sync::atomic::AtomicU64| count.load(std::sync::atomic::Ordering::SeqCst);
+    let ids = |ids: &std::sync::Mutex<Vec<String>>| ids.lock().map(|ids| ids.clone()).unwrap_or_default();
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    tally
+        .times
+        .lock()
+        .map(|all| all.iter().for_each(|time| times.saturating_record(*time)))
+        .unwrap_or_default();
+    let (_, doubled) = bench.busy.writes();
+    let mut figures = Figures {
+        probe_gap_max_s: gap,
+        probes_per_node_s_shared: bench.last("shared").probes_per_quiet_node_s,
+        probes_per_node_s_alone: bench.last("alone").probes_per_quiet_node_s,
+        probes_per_node_s_off: bench.last("off").probes_per_node_s_max,
+        take_over_max_s: take_over,
+        kills,
+        rpcs: tally.rpcs(),
+        ok: count(&tally.ok),
+        pushed_back: count(&tally.pushed_back),
+        aborted: count(&tally.aborted),
+        cut: count(&tally.cut),
+        lost: count(&tally.lost),
+        doubled: doubled as u64,
+        stale: bench.nodes().map(Node::stale).sum(),
+        entered_missing: ids(&tally.entered).iter().filter(|id| !bench.busy.has_run(id)).count(),
+        refused_but_ran: ids(&tally.refused).iter().filter(|id| bench.busy.has_run(id)).count(),
+        cold_part,
+        false_deaths,
+        p50_ms: times.value_at_quantile(0.5) as f64 / 1000.0,
+        p99_ms: times.value_at_quantile(0.99) as f64 / 1000.0,
+        seed: wanted.seed,
+        broken: Vec::new(),
+    };
+    let alone = figures.probes_per_node_s_alone;
+    // What one router alone may do, from its floor, for each of them.
+    let ceiling = ROUTERS as f64 / 0.150;
+    let highest = bench.phases.iter().map(|phase| phase.probes_per_node_s_max).fold(0.0, f64::max);
+    let bounds = [
+        ("a node unheard of for too long", figures.probe_gap_max_s <= LONGEST_GAP),
+        ("a killed router's duties taken over too late", figures.take_over_max_s <= LONGEST_GAP),
+        ("shared probes cost too much", figures.probes_per_node_s_shared <= alone * SHARED_PART),
+        ("too few probes: something else is amiss", figures.probes_per_node_s_shared >= 2.0),
+        ("more probes than the ceilings allow", highest <= ceiling),
+        ("an RPC was lost", figures.lost == 0),
+        ("a write ran twice", figures.doubled == 0),
+        ("a stale read", figures.stale == 0),
+        ("a write answered ok did not run", figures.entered_missing == 0),
+        ("a write pushed back ran", figures.refused_but_ran == 0),
+        ("hardly any RPCs were ok", figures.ok * 10 >= figures.rpcs * 9 && figures.rpcs > 1000),
+        ("a cold node got as much as a warm one", cold_part <= 0.9),
+        ("a router that stood still did not notice", stopped),
+        ("a router that was told to stop did not end well", drained),
+        ("one lossy way killed a peer", false_deaths == 0),
+    ];
+    figures.broken = bounds.iter().filter(|(_, kept)| !kept).map(|(bound, _)| (*bound).to_string()).collect();
+    if let Some(path) = &wanted.record {
+        let mut file = std::fs::File::create(path)?;
+        for phase in &bench.phases {
+            writeln!(file, "{}", serde_json::to_string(phase)?)?;
+        }
+        writeln!(file, "{}", serde_json::to_string(&figures)?)?;
+    }
+    Ok(figures)
+}
+
+fn main() -> ExitCode {
+    let wanted = match wanted() {
+        Ok(Some(wanted)) => wanted,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("measure-duties: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    match measure(&wanted) {
+        Ok(figures) => {
+            figures.broken.iter().for_each(|bound| eprintln!("broken: {bound}"));
+            println!("{}", serde_json::to_string(&figures).expect("plain figures"));
+            if figures.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(error) => {
+            eprintln!("measure-duties: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,18 @@
+//! Router processes among stand-ins on loopback addresses, for measurements and tests of whole fleets.
+//!
+//! A [`store::Store`] plays a group of nodes and keeps the books of what reached them; [`listing::Listing`] plays
+//! discovery; [`relay::Relay`] loses datagrams as it is told; [`routers::Routers`] starts, kills and stops processes;
+//! [`load::Load`] asks as clients do, and counts how each RPC ended. Nothing here decides anything for a router.
+
+pub mod listing;
+pub mod load;
+pub mod relay;
+pub mod routers;
+pub mod store;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Unix time: the one clock that nodes, clients and routers read here.
+pub fn now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/rig/src/listing.rs
@@ -0,0 +1,81 @@
+//! Discovery, with a list that the one who runs it changes.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value as Json, json};
+
+use crate::store::Node;
+
+/// An entry of the list: the node, its group, and when it last started (zero for long ago).
+pub struct Entry<'a> {
+    pub node: &'a Node,
+    pub group: u64,
+    pub started: Duration,
+}
+
+/// The list's entries in discovery's form.
+pub fn targets(entries: &[Entry<'_>]) -> Json {
+    let entry = |entry: &Entry<'_>| {
+        json!({
+            "uid": format!("s-{}", entry.node.address.port()), "endpoint": entry.node.address, "az": "a", "model": "m",
+            "pod_group": entry.group, "state": "in_service", "capacity_hint": 1.0,
+            "boot_ms": entry.started.as_millis() as u64, "role": if entry.node.primary { "primary" } else { "replica" },
+        })
+    };
+    entries.iter().map(entry).collect()
+}
+
+#[derive(Clone)]
+pub struct Listing {
+    pub address: SocketAddr,
+    list: Arc<(Mutex<(u64, Json)>, Condvar)>,
+}
+
+impl Listing {
+    pub fn start(targets: Json) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listing = Self {
+            address: listener.local_addr()?,
+            list: Arc::new((Mutex::new((1, targets)), Condvar::new())),
+        };
+        let served = listing.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().filter_map(Result::ok) {
+                let listing = served.clone();
+                thread::spawn(move || listing.serve(stream));
+            }
+        });
+        Ok(listing)
+    }
+
+    pub fn change(&self, targets: Json) {
+        let mut list = self.list.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *list = (list.0 + 1, targets);
+        self.list.1.notify_all();
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+        let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
+        while let Some(Ok(call)) = lines.next() {
+            while lines.next()?.is_ok_and(|line| !line.is_empty()) {}
+            let number = |name: &str| call.split(name).nth(1)?.split(['&', ' ']).next()?.parse::<u64>().ok();
+            let (from, hold) = (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0)));
+            let list = self.list.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let same = |list: &mut (u64, Json)| Some(list.0) == from;
+            let (list, _) =
+                self.list.1.wait_timeout_while(list, hold, same).unwrap_or_else(PoisonError::into_inner);
+            let all = Some(list.0) != from;
+            let body =
+                json!({"rev": list.0, "all": all, "targets": if all { list.1.clone() } else { json!([]) }});
+            drop(list);
+            let body = body.to_string();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all((head + &body).as_bytes()).ok()?;
+        }
+        Some(())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,220 @@
+//! Clients: each keeps to one router, asks at a set pace, and counts how every RPC ended.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use quillpoint_router::pg::{self, Told};
+
+use crate::now;
+use crate::store::next;
+
+/// Past its deadline by more than this, an answer is late: the rules allow 50 ms, and a busy machine some.
+const LATE: Duration = Duration::from_millis(500);
+
+/// How the RPCs ended.
+#[derive(Default)]
+pub struct Tally {
+    pub ok: AtomicU64,
+    pub pushed_back: AtomicU64,
+    pub aborted: AtomicU64,
+    /// The connection broke while its router was down, or was brought down.
+    pub cut: AtomicU64,
+    /// No answer in time, or the connection broke while its router was up.
+    pub lost: AtomicU64,
+    /// Writes: answered ok under these ids, and pushed back under those.
+    pub entered: Mutex<Vec<String>>,
+    pub refused: Mutex<Vec<String>>,
+    /// Times from the sending to an ok answer, in microseconds.
+    pub times: Mutex<Vec<u64>>,
+}
+
+impl Tally {
+    pub fn rpcs(&self) -> u64 {
+        [&self.ok, &self.pushed_back, &self.aborted, &self.cut, &self.lost]
+            .iter()
+            .map(|count| count.load(Ordering::SeqCst))
+            .sum()
+    }
+}
+
+/// When each router was not up: from a kill, or a stop, until it serves again.
+#[derive(Default)]
+pub struct Outages(Mutex<Vec<(usize, Duration, Option<Duration>)>>);
+
+impl Outages {
+    pub fn begin(&self, router: usize) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((router, now(), None));
+    }
+
+    pub fn end(&self, router: usize) {
+        let mut outages = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for outage in outages.iter_mut().filter(|outage| outage.0 == router && outage.2.is_none()) {
+            outage.2 = Some(now());
+        }
+    }
+
+    fn touches(&self, router: usize, from: Duration, to: Duration) -> bool {
+        let outages = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        outages
+            .iter()
+            .any(|(at, begin, end)| *at == router && *begin <= to && end.is_none_or(|end| end >= from))
+    }
+}
+
+pub struct Load {
+    pub tally: Arc<Tally>,
+    pub outages: Arc<Outages>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// So many clients at each router, each of which asks once in `every`.
+    pub fn start(routers: &[SocketAddr], clients: usize, every: Duration) -> Self {
+        let (tally, outages, stop) =
+            (Arc::<Tally>::default(), Arc::<Outages>::default(), Arc::<AtomicBool>::default());
+        let mut handles = Vec::new();
+        for (router, address) in routers.iter().enumerate() {
+            for place in 0..clients {
+                let client = Client {
+                    router,
+                    address: *address,
+                    every,
+                    tally: Arc::clone(&tally),
+                    outages: Arc::clone(&outages),
+                    stop: Arc::clone(&stop),
+                    place,
+                };
+                handles.push(thread::spawn(move || client.run()));
+            }
+        }
+        Self { tally, outages, stop, clients: handles }
+    }
+
+    /// All have had their last answer when this returns.
+    pub fn end(mut self) -> Arc<Tally> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.drain(..).for_each(|client| _ = client.join());
+        Arc::clone(&self.tally)
+    }
+}
+
+/// Ids are new with every RPC of this process, whichever load asks it.
+static IDS: AtomicU64 = AtomicU64::new(0);
+
+/// A connection, what has been read of it, and when it was opened.
+type Connection = (TcpStream, Vec<u8>, Duration);
+
+struct Client {
+    router: usize,
+    address: SocketAddr,
+    every: Duration,
+    tally: Arc<Tally>,
+    outages: Arc<Outages>,
+    stop: Arc<AtomicBool>,
+    place: usize,
+}
+
+enum Ended {
+    Ok,
+    PushedBack,
+    Aborted,
+    Gone,
+}
+
+impl Client {
+    fn run(&self) {
+        let mut connection: Option<Connection> = None;
+        // Clients start spread over their pace.
+        thread::sleep(self.every.mul_f64((self.place as f64 * 0.37).fract()));
+        for turn in 0.. {
+            if self.stop.load(Ordering::SeqCst) {
+                return;
+            }
+            let began = Instant::now();
+            let Some((mut stream, mut unread, opened)) = connection.take().or_else(|| self.connect()) else {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            if self.rpc(turn, &mut stream, &mut unread, opened) {
+                connection = Some((stream, unread, opened));
+            }
+            thread::sleep(self.every.saturating_sub(began.elapsed()));
+        }
+    }
+
+    fn connect(&self) -> Option<Connection> {
+        let mut stream = TcpStream::connect_timeout(&self.address, Duration::from_millis(500)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut out = Vec::new();
+        pg::put_startup(&mut out, "portal", "crm");
+        stream.write_all(&out).ok()?;
+        Some((stream, Vec::new(), now()))
+    }
+
+    /// One RPC to its end. Whether the connection may be used again.
+    fn rpc(&self, turn: usize, stream: &mut TcpStream, unread: &mut Vec<u8>, opened: Duration) -> bool {
+        let id = format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst));
+        let (class, wait) = [("recent", 1500), ("look", 1500), ("recent", 1500), ("enter", 2000)][turn % 4];
+        let verb = match class {
+            "enter" => format!("INSERT INTO facts (code, data) VALUES ('{id}', '\\x01') RETURNING data"),
+            _ => "SELECT data FROM facts WHERE code = '7f3a'".to_string(),
+        };
+        let text = format!("/* id={id},c={class},d={wait},cluster=0 */ {verb}");
+        let (sent, wait) = (now(), Duration::from_millis(wait));
+        _ = stream.set_read_timeout(Some(wait + LATE));
+        let ended = match stream.write_all(&pg::query(text.as_bytes())) {
+            Ok(()) => answer(stream, unread),
+            Err(_) => Ended::Gone,
+        };
+        let (end, tally) = (now(), &self.tally);
+        let keep = |ids: &Mutex<Vec<String>>| {
+            if class == "enter" {
+                ids.lock().unwrap_or_else(PoisonError::into_inner).push(id.clone());
+            }
+        };
+        let excused = self.outages.touches(self.router, sent, end);
+        let late = end > sent + wait + LATE;
+        let count = match ended {
+            // A connection that its router's end has broken shows it only when it is used next.
+            Ended::Gone if self.outages.touches(self.router, opened, end) => &tally.cut,
+            Ended::Gone => &tally.lost,
+            _ if late && !excused => &tally.lost,
+            Ended::Ok => {
+                keep(&tally.entered);
+                let took = (end - sent).as_micros() as u64;
+                tally.times.lock().unwrap_or_else(PoisonError::into_inner).push(took);
+                &tally.ok
+            }
+            Ended::PushedBack => {
+                keep(&tally.refused);
+                &tally.pushed_back
+            }
+            Ended::Aborted => &tally.aborted,
+        };
+        count.fetch_add(1, Ordering::SeqCst);
+        !matches!(ended, Ended::Gone)
+    }
+}
+
+fn answer(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Ended {
+    let mut ended = None;
+    loop {
+        match next(stream, unread, pg::told) {
+            None => return Ended::Gone,
+            Some(Told::Row(_)) => ended = Some(Ended::Ok),
+            Some(Told::Error { code, .. }) if code == "53300" => ended = Some(Ended::PushedBack),
+            Some(Told::Error { .. }) => ended = Some(Ended::Aborted),
+            Some(Told::Ready) => {
+                if let Some(ended) = ended {
+                    return ended;
+                }
+            }
+            Some(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/routers.rs
@@ -0,0 +1,248 @@
+//! Router processes: started, killed, stopped and continued, each with its files, on addresses of its own.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value as Json, json};
+
+use crate::listing::Listing;
+use crate::relay::Relay;
+
+/// Far longer than anything here takes: what is awaited for so long never comes.
+const NEVER: Duration = Duration::from_secs(30);
+
+/// What routers are to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bond {
+    /// They share duties and what they find.
+    Fleet,
+    /// Each has the same periodic duty, and does it alone.
+    Alone,
+    /// As without quillpoint.conf.
+    Off,
+}
+
+type Lines = Arc<(Mutex<Vec<String>>, Condvar)>;
+
+pub struct Router {
+    pub address: SocketAddr,
+    datagrams: SocketAddr,
+    pub relay: Relay,
+    files: Vec<PathBuf>,
+    bond: Bond,
+    child: Option<Child>,
+    lines: Lines,
+}
+
+pub struct Routers {
+    pub all: Vec<Router>,
+    program: PathBuf,
+    folder: PathBuf,
+}
+
+/// What all routers of a run are told.
+pub struct Setting<'a> {
+    pub program: &'a Path,
+    /// Files are written here.
+    pub folder: &'a Path,
+    pub listing: &'a Listing,
+    pub targets: &'a Json,
+    pub bond: Bond,
+    pub seed: u64,
+    /// Directives besides the usual ones.
+    pub conf: &'a str,
+}
+
+/// An address that no other process on this machine uses, by process id: the loopback range is wide enough.
+fn own_address(place: usize) -> Ipv4Addr {
+    let id = std::process::id();
+    let last = ((id & 15) << 4) as u8 | (place as u8 + 1) & 15;
+    Ipv4Addr::new(127, 64 + ((id >> 12) & 127) as u8, (id >> 4) as u8, last)
+}
+
+/// Several fleets may run within one process.
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
+impl Routers {
+    /// So many, not yet started.
+    pub fn new(count: usize, setting: &Setting<'_>) -> std::io::Result<Self> {
+        fs::create_dir_all(setting.folder)?;
+        let keys = setting.folder.join("fleet.keys");
+        fs::write(&keys, format!("# of this run alone\n{}\n", "5c".repeat(32)))?;
+        fs::set_permissions(&keys, fs::Permissions::from_mode(0o600))?;
+        let mut all = Vec::new();
+        let fleet = NEXT.fetch_add(1, Ordering::SeqCst);
+        for place in 0..count {
+            let datagrams = SocketAddr::from((own_address(place), 7400 + fleet));
+            let relay = Relay::start(datagrams, setting.seed ^ place as u64)?;
+            let address = SocketAddr::from((own_address(place), 6432 + fleet));
+            let lines = Lines::default();
+            all.push(Router {
+                address,
+                datagrams,
+                relay,
+                files: Vec::new(),
+                bond: setting.bond,
+                child: None,
+                lines,
+            });
+        }
+        let peers: Vec<SocketAddr> = all.iter().map(|router| router.relay.address).collect();
+        for (place, router) in all.iter_mut().enumerate() {
+            let platform = setting.folder.join(format!("router-{place}.json"));
+            fs::write(&platform, platform_json(place, router.address, setting).to_string())?;
+            let conf = setting.folder.join(format!("router-{place}.conf"));
+            fs::write(&conf, conf_text(router, &peers, setting))?;
+            router.files = vec![platform, conf];
+        }
+        Ok(Self { all, program: setting.program.to_path_buf(), folder: setting.folder.to_path_buf() })
+    }
+
+    /// Starts it and waits until it serves.
+    pub fn start(&mut self, place: usize) -> std::io::Result<()> {
+        let router = &mut self.all[place];
+        let mut command = Command::new(&self.program);
+        command.arg("serve").arg("--config").arg(&router.files[0]).env_clear().current_dir(&self.folder);
+        if router.bond != Bond::Off {
+            command.arg("--conf").arg(&router.files[1]);
+        }
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        let Some(log) = child.stderr.take() else {
+            return Err(std::io::Error::other("the log is not piped"));
+        };
+        router.child = Some(child);
+        router.lines = Lines::default();
+        let kept = Arc::clone(&router.lines);
+        thread::spawn(move || {
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                kept.0.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+                kept.1.notify_all();
+            }
+        });
+        if !self.await_line(place, "serves at", NEVER) {
+            return Err(std::io::Error::other(format!(
+                "router {place} does not serve: {:?}",
+                self.lines(place)
+            )));
+        }
+        Ok(())
+    }
+
+    pub fn start_all(&mut self) -> std::io::Result<()> {
+        (0..self.all.len()).try_for_each(|place| self.start(place))
+    }
+
+    /// As by SIGKILL.
+    pub fn kill(&mut self, place: usize) {
+        if let Some(mut child) = self.all[place].child.take() {
+            _ = child.kill();
+            _ = child.wait();
+        }
+    }
+
+    /// A signal by its name, as `-STOP`.
+    pub fn signal(&self, place: usize, name: &str) {
+        if let Some(child) = &self.all[place].child {
+            _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Waits until the process has ended by itself. Whether it ended well.
+    pub fn ended(&mut self, place: usize) -> bool {
+        self.all[place]
+            .child
+            .take()
+            .is_some_and(|mut child| child.wait().is_ok_and(|status| status.success()))
+    }
+
+    /// Datagrams from the one to the other are lost to this part from now on.
+    pub fn lose(&self, from: usize, to: usize, part: f64) {
+        self.all[to].relay.lose(self.all[from].datagrams, part);
+    }
+
+    pub fn heal(&self) {
+        self.all.iter().for_each(|router| router.relay.heal());
+    }
+
+    /// The log since the last start.
+    pub fn lines(&self, place: usize) -> Vec<String> {
+        self.all[place].lines.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits until a line with this in it has been logged since the last start.
+    pub fn await_line(&self, place: usize, part: &str, most: Duration) -> bool {
+        let lines = &self.all[place].lines;
+        let missing = |lines: &mut Vec<String>| !lines.iter().any(|line| line.contains(part));
+        let guard = lines.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (_guard, wait) =
+            lines.1.wait_timeout_while(guard, most, missing).unwrap_or_else(PoisonError::into_inner);
+        !wait.timed_out()
+    }
+
+    /// Where the process listens for datagrams, past its relay.
+    pub fn datagrams(&self, place: usize) -> SocketAddr {
+        self.all[place].datagrams
+    }
+
+    /// The resident memory of the process in bytes, and its processor time so far, as the system counts them.
+    pub fn usage(&self, place: usize) -> Option<(u64, Duration)> {
+        let id = self.all[place].child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let resident = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let resident: u64 = resident.split_whitespace().nth(1)?.parse().ok()?;
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some((resident * 1024, Duration::from_millis(ticks * 10)))
+    }
+}
+
+impl Drop for Routers {
+    fn drop(&mut self) {
+        (0..self.all.len()).for_each(|place| self.kill(place));
+    }
+}
+
+fn conf_text(router: &Router, peers: &[SocketAddr], setting: &Setting<'_>) -> String {
+    let mut text = format!(
+        "log json\nfleet {{\n    listen {}\n    advertise {}\n    keys fleet.keys\n}}\n{}\n",
+        router.datagrams, router.relay.address, setting.conf
+    );
+    if router.bond == Bond::Fleet {
+        for (place, peer) in peers.iter().enumerate() {
+            text.push_str(&format!("peer r{place} {{\n    address {peer}\n}}\n"));
+        }
+    }
+    text
+}
+
+fn platform_json(place: usize, address: SocketAddr, setting: &Setting<'_>) -> Json {
+    let class = |name: &str, effect: &str, deadline: f64| json!({"Name": name, "GiveUpMs": deadline, "GoalTimeMs": 150.0, "LateValue": 0.5, "Value": 1.0, "Semantics": effect});
+    json!({
+        "name": format!("r{place}"), "listen": address, "discovery": setting.listing.address,
+        "seed": format!("{:x}", setting.seed.wrapping_add(place as u64)),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+        "known": {"rev": 0, "all": true, "targets": setting.targets},
+        "settings": {
+            "Allowed": {"ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0, "MaxAttempts": 6, "Probes": true,
+                "MaxRetryAfterMs": 1000.0, "MayDuplicate": true, "MostHeld": 20000},
+            "Balancers": 3,
+            "Classes": [class("look", "free", 1500.0), class("enter", "single_shot", 2000.0), class("recent", "free", 1500.0)],
+            "Discovery": "subscribe",
+            "Extra": {"Checks": "none", "ClassBoundMs": [0, 0, 300], "NeedsByClass": ["loose", "update", "recent"],
+                "WriteMarks": "router"},
+            "FailureDomains": ["a"], "Feedback": {"Fields": ["x0", "x1"], "Source": "answers"},
+            "Invariants": {"AskEveryMs": 10000.0, "ColdFrom": 0.25, "ColdMs": 10000.0, "DrainGraceMs": 2000.0,
+                "FallMultiple": 3.0, "OverloadForMs": 1000.0},
+            "Skus": ["m"], "StepMs": 2.0, "Tariffs": {"Probe": 0.001},
+        },
+    })
+}
--- /dev/null
+++ b/crates/rig/src/store.rs
@@ -0,0 +1,238 @@
+//! A group of nodes: a primary and replicas that lag by a set time, each on a port of its own. Every query and probe
+//! that arrives is entered in the books, which share no code with a router's decisions.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use quillpoint_router::pg::{self, Answer, Asked, Column, Opening};
+
+use crate::now;
+
+/// How stale a bounded read may be here, and the allowance of the rules on sockets.
+pub const BOUND: Duration = Duration::from_millis(300);
+const ALLOWED: Duration = Duration::from_millis(50);
+
+/// What has reached a node.
+#[derive(Default)]
+struct Books {
+    probes: Vec<Duration>,
+    /// All that tells a router of the node: probes and answers.
+    contacts: Vec<Duration>,
+    rpcs: Vec<Duration>,
+    /// Bounded reads that were sent here though the node was too far behind, and have been answered.
+    stale: u64,
+}
+
+struct Inner {
+    books: Mutex<Books>,
+    up: AtomicBool,
+}
+
+/// One node.
+#[derive(Clone)]
+pub struct Node {
+    pub address: SocketAddr,
+    pub primary: bool,
+    lag: Duration,
+    inner: Arc<Inner>,
+    ledger: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A group whose first node is the primary.
+pub struct Store {
+    pub nodes: Vec<Node>,
+    ledger: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl Store {
+    /// A primary and a replica for each lag.
+    pub fn start(lags: &[Duration]) -> std::io::Result<Self> {
+        let ledger = Arc::<Mutex<BTreeMap<String, u32>>>::default();
+        let primary = [(true, Duration::ZERO)].into_iter();
+        let all = primary.chain(lags.iter().map(|lag| (false, *lag)));
+        let nodes = all.map(|(primary, lag)| Node::start(primary, lag, Arc::clone(&ledger)));
+        Ok(Self { nodes: nodes.collect::<Result<_, _>>()?, ledger })
+    }
+
+    /// How many writes ran, and how many of them more than once.
+    pub fn writes(&self) -> (usize, usize) {
+        let ledger = held(&self.ledger);
+        (ledger.len(), ledger.values().filter(|runs| **runs > 1).count())
+    }
+
+    /// Whether the write under this id has run.
+    pub fn has_run(&self, id: &str) -> bool {
+        held(&self.ledger).contains_key(id)
+    }
+}
+
+impl Node {
+    fn start(
+        primary: bool,
+        lag: Duration,
+        ledger: Arc<Mutex<BTreeMap<String, u32>>>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let inner = Arc::new(Inner { books: Mutex::default(), up: AtomicBool::new(true) });
+        let node = Self { address: listener.local_addr()?, primary, lag, inner, ledger };
+        let served = node.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().filter_map(Result::ok) {
+                let node = served.clone();
+                thread::spawn(move || node.serve(stream));
+            }
+        });
+        Ok(node)
+    }
+
+    pub fn set_up(&self, up: bool) {
+        self.inner.up.store(up, Ordering::SeqCst);
+    }
+
+    fn is_up(&self) -> bool {
+        self.inner.up.load(Ordering::SeqCst)
+    }
+
+    fn books(&self) -> MutexGuard<'_, Books> {
+        held(&self.inner.books)
+    }
+
+    /// The probes that came from then on.
+    pub fn probes(&self, from: Duration) -> usize {
+        self.books().probes.iter().filter(|at| **at >= from).count()
+    }
+
+    /// The RPCs that came within a span.
+    pub fn rpcs(&self, from: Duration, to: Duration) -> usize {
+        self.books().rpcs.iter().filter(|at| (from..to).contains(at)).count()
+    }
+
+    pub fn stale(&self) -> u64 {
+        self.books().stale
+    }
+
+    /// The longest time within the span in which nothing reached the node that tells a router of it.
+    pub fn longest_gap(&self, from: Duration, to: Duration) -> Duration {
+        let books = self.books();
+        let within = books.contacts.iter().copied().filter(|at| (from..=to).contains(at));
+        let mut times: Vec<Duration> = within.chain([from, to]).collect();
+        times.sort();
+        times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default()
+    }
+
+    /// The times from one contact to the next within the span.
+    pub fn gaps(&self, from: Duration, to: Duration) -> Vec<Duration> {
+        let books = self.books();
+        let mut times: Vec<Duration> =
+            books.contacts.iter().copied().filter(|at| (from..=to).contains(at)).collect();
+        times.sort();
+        times.windows(2).map(|pair| pair[1] - pair[0]).collect()
+    }
+
+    fn position(&self) -> Duration {
+        now() - self.lag
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        _ = stream.set_nodelay(true);
+        let mut unread = Vec::new();
+        if next(&mut stream, &mut unread, pg::opening) != Some(Opening::Startup) || !self.is_up() {
+            return;
+        }
+        let mut out = Vec::new();
+        pg::put_welcome(&mut out);
+        if stream.write_all(&out).is_err() {
+            return;
+        }
+        while let Some(Asked::Query(text)) = next(&mut stream, &mut unread, pg::asked) {
+            if !self.is_up() {
+                return;
+            }
+            let text = String::from_utf8_lossy(&text);
+            let out = self.answer(&text);
+            if stream.write_all(&out).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The whole answer to a query, which is entered in the books.
+    fn answer(&self, text: &str) -> Vec<u8> {
+        let (at, mut out) = (now(), Vec::new());
+        let load = format!("x0={:.6},x1={}", self.position().as_secs_f64(), u8::from(self.primary));
+        let mut books = self.books();
+        if text == "SHOW load" {
+            books.probes.push(at);
+            books.contacts.push(at);
+            pg::put_answer(&mut out, &row(load.as_bytes()));
+            pg::put_ready(&mut out);
+            return out;
+        }
+        books.rpcs.push(at);
+        books.contacts.push(at);
+        if text.contains("INSERT") && !self.primary {
+            drop(books);
+            pg::put_error(&mut out, false, "25006", "this is a replica", None);
+        } else {
+            // A read that no bound allows here counts against the router that sent it.
+            let bounded = text.contains("c=recent,");
+            books.stale += u64::from(bounded && self.position() + BOUND + ALLOWED < at);
+            drop(books);
+            if text.contains("INSERT")
+                && let Some(id) = word(text, "id=")
+            {
+                *held(&self.ledger).entry(id.to_string()).or_default() += 1;
+            }
+            pg::put_answer(&mut out, &row(b"v"));
+        }
+        parameter(&mut out, "role", if self.primary { "primary" } else { "replica" });
+        parameter(&mut out, "applied_ms", &self.position().as_millis().to_string());
+        parameter(&mut out, "load", &load);
+        pg::put_ready(&mut out);
+        out
+    }
+}
+
+/// What stands behind the name, up to the next comma or blank.
+fn word<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.split(name).nth(1)?.split([',', ' ']).next()
+}
+
+fn row(value: &[u8]) -> Answer {
+    let column = Column { name: b"data".to_vec(), type_oid: 17, type_size: u16::MAX, binary: true };
+    Answer { column, value: Some(value.to_vec()), tag: b"SELECT 1".to_vec() }
+}
+
+fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+    out.push(b'S');
+    out.extend((name.len() as u32 + value.len() as u32 + 6).to_be_bytes());
+    out.extend([name.as_bytes(), &[0], value.as_bytes(), &[0]].concat());
+}
+
+/// The next whole message; `None` at the end, and for what is none.
+pub fn next<T>(
+    stream: &mut TcpStream,
+    unread: &mut Vec<u8>,
+    decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, pg::Broken>,
+) -> Option<T> {
+    loop {
+        if let Some((message, taken)) = decode(unread).ok()? {
+            unread.drain(..taken);
+            return Some(message);
+        }
+        let mut piece = [0; 4096];
+        match stream.read(&mut piece) {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => unread.extend(&piece[..count]),
+        }
+    }
+}
