Room for a client is made when one has come, not ahead of it

Cause: the test of the longest idle connection failed on a loaded machine (a write into a closed connection). The router did close it: the accept loop took the next client's slot at once after an accept, and made room for it by closing the connection that had said nothing yet, the one just accepted, whenever its startup was not there in that instant. Change: the listener is awaited first, room is made then. A test connects, lets the router answer 20 RPCs, and then speaks: it failed each time before (closed), and holds now.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -121,9 +121,22 @@
         })
     }
 
+    async fn accept_failed(&self, error: &io::Error) {
+        if self.told.is_due() {
+            log::warn!("accept failed: {error}");
+        }
+        Timer::after(ACCEPT_AGAIN).await;
+    }
+
     /// Accepts until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
         loop {
+            // Room is made only for one that has come: made ahead, it would cost the one before, which may not
+            // have had time to say anything, its connection.
+            if let Err(error) = listener.readable().await {
+                self.accept_failed(&error).await;
+                continue;
+            }
             // The slot first: a connection that could not be served had better wait where it is.
             let slot = self.descriptors.take_for_client().await;
             match listener.accept().await {
@@ -132,12 +145,7 @@
                     // It is idle from now on, and must be known as such before a place is made for the next.
                     future::yield_now().await;
                 }
-                Err(error) => {
-                    if self.told.is_due() {
-                        log::warn!("accept failed: {error}");
-                    }
-                    Timer::after(ACCEPT_AGAIN).await;
-                }
+                Err(error) => self.accept_failed(&error).await,
             }
         }
     }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -246,6 +246,29 @@
     assert_eq!(replica.queries().len(), 41);
 }
 
+/// Guards against room that is made ahead of the next client: it was made by closing the newest connection, which
+/// had not said anything yet, though others had long been idle.
+#[test]
+fn a_new_client_keeps_its_connection_until_it_has_had_time_to_speak() {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let router = Running::start(&configuration(&discovery, &list, 32));
+    // Half of 16 sockets are for clients.
+    let mut clients: Vec<Client> = (0..8).map(|_| router.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.rpc("look", 9000), ok()));
+    let mut silent = std::net::TcpStream::connect(router.address).unwrap();
+    // The router has turned to the new one by the time it has answered all this.
+    let busy = &mut clients[7];
+    (0..20).for_each(|_| assert_eq!(busy.rpc("look", 9000), ok()));
+    let mut startup = Vec::new();
+    pg::put_startup(&mut startup, "portal", "crm");
+    std::io::Write::write_all(&mut silent, &startup).unwrap();
+    let mut answer = [0; 1];
+    silent.set_read_timeout(Some(std::time::Duration::from_secs(30))).unwrap();
+    assert_eq!(std::io::Read::read(&mut silent, &mut answer).unwrap(), 1, "a welcome, not a close");
+}
+
 #[test]
 fn what_there_are_no_descriptors_for_is_pushed_back_and_not_left_unread() {
     let (primary, replica) = (Node::start(true), Node::start(false));
