--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -45,15 +45,20 @@
     since: Duration,
 }
 
+/// The rule of hand-over, all of it: when the router that so many stand before would do a duty, by what it knows of
+/// when anybody last did it (or since when it is owed), and from when on its own last beginning lets it.
+pub fn due(plan: &Plan, done: Option<Duration>, since: Duration, rested: Duration, place: u32) -> Duration {
+    let owed = done.map_or(since, |done| done + plan.period);
+    (owed + plan.grace * place).max(rested)
+}
+
 impl Duty {
-    /// When this router would do it.
+    /// When this router would do it; never while it owns no duties.
     fn due(&self) -> Option<Duration> {
-        let place = self.place?;
-        let owed = self.done.map_or(self.since, |done| done + self.plan.period);
-        let own = self.begun.map_or(Duration::ZERO, |begun| {
+        let rested = self.begun.map_or(Duration::ZERO, |begun| {
             begun + if self.running { self.plan.longest.max(self.plan.floor) } else { self.plan.floor }
         });
-        Some((owed + self.plan.grace * place).max(own))
+        Some(due(&self.plan, self.done, self.since, rested, self.place?))
     }
 }
 
--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -1,1 +1,174 @@
-//! command
+//! The command line.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use lexopt::Parser;
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+
+use crate::experiment::{self, Experiment};
+use crate::plot::{Axes, Line};
+use crate::{detectors, plot, record};
+
+const HELP: &str = "\
+quillpoint-lab: fleets of routers in virtual time
+
+Usage: quillpoint-lab run FILE [--record FILE]
+       quillpoint-lab check FILE
+       quillpoint-lab plot RECORD --x FIGURE --y FIGURE --to FILE [--title TEXT]
+       quillpoint-lab detectors [--record FILE]
+       quillpoint-lab schema
+
+  run        plays an experiment; with --record each run is added to that file as a line of JSON
+  check      says what is wrong with an experiment's file
+  plot       draws one figure of a record against another as SVG, a line for shared and one for alone
+  detectors  compares ways to know who is there, at 3, 30 and 100 routers and 0 to 40% loss
+  schema     prints the form of an experiment's file
+";
+
+/// The status for a fault of the command line or of a file.
+const MISUSED: u8 = 2;
+
+#[derive(Default)]
+struct Words {
+    deed: Vec<String>,
+    record: Option<PathBuf>,
+    x: Option<String>,
+    y: Option<String>,
+    to: Option<PathBuf>,
+    title: Option<String>,
+}
+
+pub fn run(words: Parser) -> ExitCode {
+    let words = match read(words) {
+        Ok(Some(words)) => words,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("quillpoint-lab: {error}; see quillpoint-lab --help");
+            return ExitCode::from(MISUSED);
+        }
+    };
+    match obey(&words) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quillpoint-lab: {error}");
+            ExitCode::from(MISUSED)
+        }
+    }
+}
+
+fn read(mut words: Parser) -> Result<Option<Words>, lexopt::Error> {
+    let mut told = Words::default();
+    while let Some(word) = words.next()? {
+        match word {
+            Short('h') | Long("help") => return Ok(None),
+            Long("record") => told.record = Some(words.value()?.into()),
+            Long("x") => told.x = Some(words.value()?.string()?),
+            Long("y") => told.y = Some(words.value()?.string()?),
+            Long("to") => told.to = Some(words.value()?.into()),
+            Long("title") => told.title = Some(words.value()?.string()?),
+            Value(word) if told.deed.len() < 2 => told.deed.push(word.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(if told.deed.is_empty() { None } else { Some(told) })
+}
+
+fn obey(words: &Words) -> Result<(), Box<dyn std::error::Error>> {
+    let deed: Vec<&str> = words.deed.iter().map(String::as_str).collect();
+    match deed.as_slice() {
+        ["schema"] => println!("{}", serde_json::to_string_pretty(&experiment::schema())?),
+        ["check", file] => {
+            let experiment = Experiment::read(Path::new(file))?;
+            println!("{}: {} runs", experiment.name, experiment.runs().len());
+        }
+        ["run", file] => play(&Experiment::read(Path::new(file))?, words.record.as_deref())?,
+        ["detectors"] => compare(words.record.as_deref())?,
+        ["plot", file] => draw(Path::new(file), words)?,
+        other => return Err(format!("there is no such deed: {}", other.join(" ")).into()),
+    }
+    Ok(())
+}
+
+fn play(experiment: &Experiment, to: Option<&Path>) -> std::io::Result<()> {
+    let runs = experiment.runs();
+    for (number, shape) in (1..).zip(&runs) {
+        let run = experiment.play(shape);
+        println!(
+            "{number}/{}: {} routers, {} nodes, {}: {:.2} probes a node and second, gap p99 {:.3} s, max {:.3} s, \
+             evidence p99 {:.3} s, {:.0} datagrams and {:.0} bytes a router and second, {:.1}% of a core",
+            runs.len(),
+            run.routers,
+            run.nodes,
+            if run.shared { "shared" } else { "alone" },
+            run.probes_per_node_s,
+            run.gap_p99_s,
+            run.gap_max_s,
+            run.age_p99_s,
+            run.datagrams_per_router_s,
+            run.bytes_per_router_s,
+            run.cpu_part * 100.0,
+        );
+        if let Some(path) = to {
+            record::append(path, &run)?;
+        }
+    }
+    Ok(())
+}
+
+fn compare(to: Option<&Path>) -> std::io::Result<()> {
+    let mut file = to.map(std::fs::File::create).transpose()?;
+    println!(
+        "| way | routers | loss | datagrams a router and second (busiest) | detected, half (last) | false deaths a router and hour |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for routers in [3, 30, 100] {
+        for loss in [0.0, 0.05, 0.2, 0.4] {
+            for row in detectors::compare(routers, loss, 1) {
+                println!(
+                    "| {} | {} | {:.0}% | {:.1} ({:.0}) | {:.2} s ({:.2} s) | {:.1} |",
+                    row.way,
+                    row.routers,
+                    row.loss * 100.0,
+                    row.datagrams_per_router_s,
+                    row.datagrams_busiest_s,
+                    row.detect_p50_s,
+                    row.detect_max_s,
+                    row.false_deaths_per_router_h,
+                );
+                if let Some(file) = &mut file {
+                    writeln!(file, "{}", serde_json::to_string(&row)?)?;
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn draw(file: &Path, words: &Words) -> Result<(), Box<dyn std::error::Error>> {
+    let (Some(x), Some(y), Some(to)) = (&words.x, &words.y, &words.to) else {
+        return Err("a plot needs --x, --y and --to".into());
+    };
+    let runs = record::read(file)?;
+    let figure = |run: &record::Run, name: &str| {
+        run.figure(name).ok_or_else(|| format!("{}: no figure {name}", file.display()))
+    };
+    let mut lines = Vec::new();
+    for (shared, name) in [(true, "shared"), (false, "each alone")] {
+        // The mean over seeds.
+        let mut sums = std::collections::BTreeMap::<u64, (f64, f64)>::new();
+        for run in runs.iter().filter(|run| run.shared == shared) {
+            let sum = sums.entry(figure(run, x)?.to_bits()).or_default();
+            *sum = (sum.0 + figure(run, y)?, sum.1 + 1.0);
+        }
+        let points = sums.into_iter().map(|(at, (sum, count))| (f64::from_bits(at), sum / count)).collect();
+        lines.push(Line { name: name.to_string(), points });
+    }
+    lines.retain(|line| !line.points.is_empty());
+    let title = words.title.clone().unwrap_or_else(|| format!("{y} by {x}"));
+    plot::lines(to, &Axes { title: &title, x, y }, &lines)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    ExitCode::SUCCESS
+    quillpoint_lab::command::run(lexopt::Parser::from_env())
 }
--- a/crates/rig/src/bin/duties.rs
+++ b/crates/rig/src/bin/duties.rs
@@ -131,7 +131,7 @@
         let (to, seconds) = (now(), (now() - from).as_secs_f64());
         let mut times = Histogram::<u64>::new(3).expect("three digits");
         for gap in self.nodes().flat_map(|node| node.gaps(from, to)) {
-            times.saturating_record(gap.as_micros() as u64);
+            note(&mut times, gap.as_micros() as u64);
         }
         let rate = |node: &Node| node.probes(from) as f64 / seconds;
         let quiet = self.quiet.nodes.iter().map(rate).sum::<f64>() / self.quiet.nodes.len() as f64;
@@ -311,11 +311,7 @@
     let count = |count: &std::sync::atomic::AtomicU64| count.load(std::sync::atomic::Ordering::SeqCst);
     let ids = |ids: &std::sync::Mutex<Vec<String>>| ids.lock().map(|ids| ids.clone()).unwrap_or_default();
     let mut times = Histogram::<u64>::new(3).expect("three digits");
-    tally
-        .times
-        .lock()
-        .map(|all| all.iter().for_each(|time| times.saturating_record(*time)))
-        .unwrap_or_default();
+    tally.times.lock().map(|all| all.iter().for_each(|time| note(&mut times, *time))).unwrap_or_default();
     let (_, doubled) = bench.busy.writes();
     let mut figures = Figures {
         probe_gap_max_s: gap,
@@ -397,3 +393,8 @@
         }
     }
 }
+
+/// It grows as it must, so that no value is cut.
+fn note(times: &mut Histogram<u64>, micros: u64) {
+    times.record(micros).expect("a histogram that grows takes all");
+}
