Probing in turn goes by the tightest bound: every half of it, and never more than a router alone

Change: the duty's default period is half the deployment's tightest bound (the design's half-life of an entry), grace and floor the same, and news goes out each tick. The floor is then what a router that shares nothing may do at most.

--- a/crates/conf/src/directives.rs
+++ b/crates/conf/src/directives.rs
@@ -174,25 +174,28 @@
         section: "duty",
         name: "every",
         kind: Kind::Span { least: ms(20), most: ms(3_600_000) },
-        default: Default::Is("250ms"),
+        default: Default::None,
         holds: Holds::Start,
-        about: "How often it is done, by all routers together.",
+        about: "How often it is done, by all routers together. Where it is not said: half of the tightest bound that the \
+                deployment sets on the age of reads, or 500ms where it sets none.",
     },
     Directive {
         section: "duty",
         name: "grace",
         kind: Kind::Span { least: ms(20), most: ms(3_600_000) },
-        default: Default::Is("250ms"),
+        default: Default::None,
         holds: Holds::Start,
-        about: "How much later each further router in line picks up what its owner leaves undone.",
+        about: "How much later each further router in line picks up what its owner leaves undone. Where it is not said: \
+                as `every`.",
     },
     Directive {
         section: "duty",
         name: "floor",
         kind: Kind::Span { least: ms(10), most: ms(3_600_000) },
-        default: Default::Is("150ms"),
+        default: Default::None,
         holds: Holds::Start,
-        about: "No router does it for one subject more often than once in this time, whatever happens.",
+        about: "No router does it for one subject more often than once in this time, whatever happens. Where it is not \
+                said: as `every`, which is what a router that shares nothing may do.",
     },
     Directive {
         section: "duty",
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -14,9 +14,9 @@
 
 /// Periodic work is looked at so often.
 pub const TICK: Duration = Duration::from_millis(20);
-/// News is sent so often, and with more than fifty peers once a millisecond for each: a router then sends about a
+/// News is sent so often, and with more than twenty peers once a millisecond for each: a router then sends about a
 /// thousand letters a second at the most.
-const FLUSH: Duration = Duration::from_millis(50);
+const FLUSH: Duration = TICK;
 const FLUSH_PER_PEER: Duration = Duration::from_millis(1);
 /// So many letters of a record go out in one tick, so that nobody's receive buffer is flooded.
 const RECORD_A_TICK: usize = 8;
--- a/crates/router/src/deployment.rs
+++ b/crates/router/src/deployment.rs
@@ -40,6 +40,8 @@
     /// How many RPCs may be held at once.
     pub most_held: usize,
     pub ask_every: Duration,
+    /// The tightest bound on the age of what a read may be answered with, if there is one.
+    pub tightest: Option<Duration>,
 }
 
 impl Deployment {
@@ -78,7 +80,19 @@
             idle_time: span("allowed.idle_connection")?.max(SHORTEST_IDLE),
             most_held: values.number("allowed.held").map_or(usize::MAX, |held| held as usize),
             ask_every: values.span("rules.ask_every").unwrap_or(Duration::from_secs(10)),
+            tightest: tightest(&values),
             values,
         })
     }
 }
+
+fn tightest(values: &ValueMap) -> Option<Duration> {
+    let bound = |place: usize| {
+        let bounded = values.text(&format!("replication.needs.{place}")) == "bounded";
+        values.span(&format!("replication.bound.{place}")).filter(|bound| bounded && !bound.is_zero())
+    };
+    (0..)
+        .take_while(|place| values.0.contains_key(&format!("replication.needs.{place}")))
+        .filter_map(bound)
+        .min()
+}
--- a/crates/router/src/part.rs
+++ b/crates/router/src/part.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use quillpoint_conf::Conf;
 use quillpoint_datagram::keys::{BadKeys, Keyring};
@@ -14,6 +15,8 @@
 
 use crate::config::Launch;
 
+/// How often nodes are probed where no bound on the age of reads asks for more.
+const UNBOUND: Duration = Duration::from_millis(500);
 /// No key file is longer.
 const LONGEST_KEYS: u64 = 64 << 10;
 
@@ -77,7 +80,12 @@
             keys: keys(conf.path("fleet", "", "keys").ok_or(BadPart::Missing("keys"))?)?,
             seeds: conf.titles("peer").filter_map(|peer| conf.address("peer", peer, "address")).collect(),
             plans: Plans {
-                probe: plan(conf, "probe", KindId(0))?,
+                probe: plan(
+                    conf,
+                    "probe",
+                    KindId(0),
+                    launch.deployment.tightest.map_or(UNBOUND, |at| at / 2),
+                )?,
                 work_rate: rate,
                 // A tenth of a second's work may come at once.
                 work_burst: (rate / 10.0).max(1.0),
@@ -88,15 +96,17 @@
     }
 }
 
-fn plan(conf: &Conf, title: &str, kind: KindId) -> Result<Plan, BadPart> {
-    let span = |name| conf.span("duty", title, name).ok_or(BadPart::Missing(name));
+/// `usual` is how often it is done where the configuration does not say.
+fn plan(conf: &Conf, title: &str, kind: KindId, usual: Duration) -> Result<Plan, BadPart> {
+    let span = |name| conf.span("duty", title, name);
+    let period = span("every").unwrap_or(usual);
     let count = |name| conf.count("duty", title, name).ok_or(BadPart::Missing(name));
     Ok(Plan {
         kind,
-        period: span("every")?,
-        grace: span("grace")?,
-        floor: span("floor")?,
-        longest: span("longest")?,
+        period,
+        grace: span("grace").unwrap_or(period),
+        floor: span("floor").unwrap_or(period),
+        longest: span("longest").ok_or(BadPart::Missing("longest"))?,
         priority: Priority(count("priority")? as u8),
         cost: count("cost")? as f64,
     })
