--- a/crates/rig/src/bin/duties.rs
+++ b/crates/rig/src/bin/duties.rs
@@ -84,6 +84,50 @@
     resident_mb: f64,
 }
 
+/// What sharing changes for RPCs: routers that are hardly asked anything, and a primary that goes.
+#[derive(Serialize)]
+struct Contrast {
+    contrast: &'static str,
+    /// Bounded reads, one in 0.7 s at each router: their times, and the probes they cause.
+    sparse_p50_ms: f64,
+    sparse_p99_ms: f64,
+    sparse_max_ms: f64,
+    sparse_ok: u64,
+    sparse_pushed_back: u64,
+    sparse_probes_per_rpc: f64,
+    /// Probes of its group in the second after the primary broke, under the usual load.
+    failover_probes: usize,
+}
+
+fn contrast(name: &'static str, busy: &Store, addresses: &[std::net::SocketAddr], seconds: u64) -> Contrast {
+    let load = Load::of(addresses, 1, Duration::from_millis(700), &["recent"]);
+    let from = now();
+    sleep(Duration::from_secs(seconds));
+    let tally = load.end();
+    let probes: usize = busy.nodes.iter().map(|node| node.probes(from)).sum();
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    tally.times.lock().map(|all| all.iter().for_each(|time| note(&mut times, *time))).unwrap_or_default();
+    let load = Load::start(addresses, 8, Duration::from_millis(100));
+    sleep(SETTLED);
+    let (primary, from) = (&busy.nodes[0], now());
+    primary.set_up(false);
+    sleep(Duration::from_secs(1));
+    let failover_probes = busy.nodes.iter().map(|node| node.probes(from)).sum();
+    primary.set_up(true);
+    load.end();
+    let ms = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1000.0;
+    Contrast {
+        contrast: name,
+        sparse_p50_ms: ms(0.5),
+        sparse_p99_ms: ms(0.99),
+        sparse_max_ms: times.max() as f64 / 1000.0,
+        sparse_ok: tally.ok.load(std::sync::atomic::Ordering::SeqCst),
+        sparse_pushed_back: tally.pushed_back.load(std::sync::atomic::Ordering::SeqCst),
+        sparse_probes_per_rpc: probes as f64 / tally.rpcs().max(1) as f64,
+        failover_probes,
+    }
+}
+
 /// The last line.
 #[derive(Serialize)]
 struct Figures {
@@ -294,6 +338,10 @@
     sleep(SETTLED);
     bench.phase("all restarted", from, &routers, &[Duration::ZERO; ROUTERS]);
     let tally = load.end();
+    let mut contrasts = Vec::new();
+    if wanted.long {
+        contrasts.push(contrast("shared", &bench.busy, &addresses, 40));
+    }
     drop(routers);
 
     for (bond, name) in [(Bond::Alone, "alone"), (Bond::Off, "off")] {
@@ -306,6 +354,9 @@
         sleep(span(3000, 30_000));
         bench.phase(name, from, &routers, &before);
         load.end();
+        if wanted.long && bond == Bond::Off {
+            contrasts.push(contrast("off", &bench.busy, &addresses, 40));
+        }
     }
 
     let count = |count: &std::sync::atomic::AtomicU64| count.load(std::sync::atomic::Ordering::SeqCst);
@@ -358,12 +409,18 @@
         ("a router that was told to stop did not end well", drained),
         ("one lossy way killed a peer", false_deaths == 0),
     ];
+    for contrast in &contrasts {
+        println!("{}", serde_json::to_string(contrast)?);
+    }
     figures.broken = bounds.iter().filter(|(_, kept)| !kept).map(|(bound, _)| (*bound).to_string()).collect();
     if let Some(path) = &wanted.record {
         let mut file = std::fs::File::create(path)?;
         for phase in &bench.phases {
             writeln!(file, "{}", serde_json::to_string(phase)?)?;
         }
+        for contrast in &contrasts {
+            writeln!(file, "{}", serde_json::to_string(contrast)?)?;
+        }
         writeln!(file, "{}", serde_json::to_string(&figures)?)?;
     }
     Ok(figures)
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -73,8 +73,18 @@
 }
 
 impl Load {
-    /// So many clients at each router, each of which asks once in `every`.
+    /// So many clients at each router, each of which asks once in `every`: a write among three reads.
     pub fn start(routers: &[SocketAddr], clients: usize, every: Duration) -> Self {
+        Self::of(routers, clients, every, &["recent", "look", "recent", "enter"])
+    }
+
+    /// The same of these methods in turn: `recent` (bounded reads), `look` (any reads) and `enter` (writes).
+    pub fn of(
+        routers: &[SocketAddr],
+        clients: usize,
+        every: Duration,
+        methods: &'static [&'static str],
+    ) -> Self {
         let (tally, outages, stop) =
             (Arc::<Tally>::default(), Arc::<Outages>::default(), Arc::<AtomicBool>::default());
         let mut handles = Vec::new();
@@ -88,6 +98,7 @@
                     outages: Arc::clone(&outages),
                     stop: Arc::clone(&stop),
                     place,
+                    methods,
                 };
                 handles.push(thread::spawn(move || client.run()));
             }
@@ -117,6 +128,7 @@
     outages: Arc<Outages>,
     stop: Arc<AtomicBool>,
     place: usize,
+    methods: &'static [&'static str],
 }
 
 enum Ended {
@@ -159,7 +171,8 @@
     /// One RPC to its end. Whether the connection may be used again.
     fn rpc(&self, turn: usize, stream: &mut TcpStream, unread: &mut Vec<u8>, opened: Duration) -> bool {
         let id = format!("{:016x}", IDS.fetch_add(1, Ordering::SeqCst));
-        let (class, wait) = [("recent", 1500), ("look", 1500), ("recent", 1500), ("enter", 2000)][turn % 4];
+        let class = self.methods[turn % self.methods.len()];
+        let wait = if class == "enter" { 2000 } else { 1500 };
         let verb = match class {
             "enter" => format!("INSERT INTO facts (code, data) VALUES ('{id}', '\\x01') RETURNING data"),
             _ => "SELECT data FROM facts WHERE code = '7f3a'".to_string(),
