The router's stand-ins share the rig's reading of messages; check prints the plan that follows

Need: the same loop stood in two places; operators could not see how often nodes will be probed. Change: standin uses rig::store's next, parameter and row; quillpoint check prints the probe duty's plan.

--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -207,12 +207,14 @@
     text.split(name).nth(1)?.split([',', ' ']).next()
 }
 
-fn row(value: &[u8]) -> Answer {
+/// An answer of one row with this value.
+pub fn row(value: &[u8]) -> Answer {
     let column = Column { name: b"data".to_vec(), type_oid: 17, type_size: u16::MAX, binary: true };
     Answer { column, value: Some(value.to_vec()), tag: b"SELECT 1".to_vec() }
 }
 
-fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+/// What a node says beside an answer.
+pub fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
     out.push(b'S');
     out.extend((name.len() as u32 + value.len() as u32 + 6).to_be_bytes());
     out.extend([name.as_bytes(), &[0], value.as_bytes(), &[0]].concat());
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -73,6 +73,13 @@
         if let Some(conf) = &briefing.conf {
             print!("{}", conf.written());
         }
+        if let Some(part) = &briefing.part {
+            // What follows from the deployment stands in neither file.
+            let span = quillpoint_conf::value::span;
+            let plan = &part.plans.probe;
+            let (every, grace, floor) = (span(plan.period), span(plan.grace), span(plan.floor));
+            println!("# duty probe: every {every}, grace {grace}, floor {floor}");
+        }
         println!("the configuration is in order");
         return Ok(());
     }
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -217,7 +217,13 @@
     let fleet = "platform router-0.json\nfleet {\n    listen 127.0.0.1:7400\n    keys fleet.keys\n}\n";
     let good = check(fleet, 0o600, "good");
     let text = String::from_utf8(good.stdout).unwrap();
-    assert!(good.status.success() && text.contains("longest 2s") && text.contains("in order"), "{text}");
+    assert!(
+        good.status.success()
+            && text.contains("longest 2s")
+            && text.contains("every 150ms, grace 150ms, floor 150ms")
+            && text.contains("in order"),
+        "{text}"
+    );
     let cases = [
         (fleet.replace("keys", "kyes"), 0o600, "x.conf:4:5: kyes: expected a directive known fleet"),
         (
--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -2,7 +2,7 @@
 //! They do as they are told and keep the books; nothing in them decides.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -11,7 +11,8 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Told};
+use quillpoint_rig::store::{next, parameter, row as answer};
+use quillpoint_router::pg::{self, Asked, Opening, Told};
 
 /// Far longer than anything here takes: what is awaited for so long never comes.
 const NEVER: Duration = Duration::from_secs(30);
@@ -67,31 +68,6 @@
     pub open: Arc<AtomicUsize>,
 }
 
-/// Reads up to the next whole message; `None` at the end.
-fn next<T>(
-    stream: &mut TcpStream,
-    unread: &mut Vec<u8>,
-    decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, pg::Broken>,
-) -> Option<T> {
-    loop {
-        if let Some((message, taken)) = decode(unread).unwrap() {
-            unread.drain(..taken);
-            return Some(message);
-        }
-        let mut piece = [0; 4096];
-        match stream.read(&mut piece) {
-            Ok(0) | Err(_) => return None,
-            Ok(count) => unread.extend(&piece[..count]),
-        }
-    }
-}
-
-fn parameter(out: &mut Vec<u8>, name: &str, value: &str) {
-    out.push(b'S');
-    out.extend((name.len() as u32 + value.len() as u32 + 6).to_be_bytes());
-    out.extend([name.as_bytes(), &[0], value.as_bytes(), &[0]].concat());
-}
-
 impl Node {
     pub fn start(primary: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -205,11 +181,6 @@
 /// Bytes that no text could hold.
 pub const VALUE: &[u8] = &[0, 255, 10, 39, 0, 128];
 
-pub fn answer(value: &[u8]) -> Answer {
-    let column = Column { name: b"data".to_vec(), type_oid: 17, type_size: u16::MAX, binary: true };
-    Answer { column, value: Some(value.to_vec()), tag: b"SELECT 1".to_vec() }
-}
-
 /// Discovery, with a list that a test changes.
 #[derive(Clone)]
 pub struct Discovery {
