An older ill word about a peer is doubted at once; duties of routers alone start spread out

Cause: in the lab at 100 routers and 20% loss (simulated) some routers did not know of a death after 20 s: they knew a newer word of the dead one than those who had declared it dead, and their own turn to ping it came each 25 s. And routers that know nothing of each other probed a node at the same moment, as the phase came from the duty alone. Change: such a word makes the newer one travel again, or the peer next to be pinged; the phase comes from the duty and the router.

--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -86,7 +86,7 @@
             let place = rendezvous::place(*id, duty.zone, &self.me, &self.candidates);
             if duty.place.is_none() && duty.done.is_none() {
                 // Only now does anybody here owe it.
-                duty.since = now + duty.plan.period.mul_f64(rendezvous::phase(*id));
+                duty.since = now + duty.plan.period.mul_f64(rendezvous::phase(*id, &self.me));
             }
             duty.place = place;
             schedule(&mut self.scheduler, *id, duty);
@@ -102,7 +102,7 @@
         }
         for (subject, zone) in subjects {
             let id = DutyId { kind: plan.kind, subject: *subject };
-            let since = now + plan.period.mul_f64(rendezvous::phase(id));
+            let since = now + plan.period.mul_f64(rendezvous::phase(id, &self.me));
             let place = rendezvous::place(id, *zone, &self.me, &self.candidates);
             let duty = self.duties.entry(id).or_insert(Duty {
                 plan,
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -439,10 +439,28 @@
                 peer.card = card.clone();
                 self.announce(now, &card.name, Some(was), host);
             }
+            Some(known) if card.state > known.card.state && card.life < known.card.life => {
+                self.doubt(now, &card.name);
+            }
             Some(_) => {}
         }
     }
 
+    /// Others speak ill of a peer by an older word than is known here. Either they have missed the newer one, which
+    /// then travels again; or it has died since, and nobody but this router still thinks otherwise: at a hundred
+    /// routers its turn to be pinged would come 25 s later.
+    fn doubt(&mut self, now: Duration, name: &PeerName) {
+        let tells = self.most_tells();
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if peer.heard + PERIOD * 2 > now {
+            peer.tells = tells;
+        } else if peer.card.state < State::Suspect && self.turn.last() != Some(name) {
+            // Moved to the end, which is next: it stands there once.
+            self.turn.retain(|other| other != name);
+            self.turn.push(name.clone());
+        }
+    }
+
     fn change(&mut self, now: Duration, name: &PeerName, life: Life, state: State, host: &mut impl Host) {
         let Some(peer) = self.peers.get_mut(name) else { return };
         let was = peer.card.state;
--- a/crates/fleet/src/rendezvous.rs
+++ b/crates/fleet/src/rendezvous.rs
@@ -33,9 +33,10 @@
     Some(before as u32)
 }
 
-/// A part from 0 to 1 of the duty's period at which it starts, so that duties do not come in bursts.
-pub fn phase(duty: DutyId) -> f64 {
-    part(!key(duty))
+/// A part from 0 to 1 of the duty's period at which a router starts it: neither do all duties of one router come at
+/// once, nor do routers that know nothing of each other do the same one at the same time.
+pub fn phase(duty: DutyId, me: &PeerName) -> f64 {
+    part(xxh3_64_with_seed(me.as_str().as_bytes(), !key(duty)))
 }
 
 fn key(duty: DutyId) -> u64 {
