--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -166,6 +166,7 @@
             self.fresh.clear();
             return Vec::new();
         }
+        self.fresh.retain(|node| self.nodes[node].own.as_ref().is_some_and(|found| found.at + OLDEST > now));
         let mut due: Vec<(Duration, SocketAddr)> = Vec::new();
         for node in &self.fresh {
             due.extend(self.nodes[node].own.as_ref().map(|found| (found.at, *node)));
@@ -182,7 +183,6 @@
             part.iter().for_each(|(_, node)| _ = self.fresh.remove(node));
             letters.push(self.letter(now, part.iter().map(|(_, node)| *node), false));
         }
-        self.fresh.retain(|node| self.nodes[node].own.as_ref().is_some_and(|found| found.at + OLDEST > now));
         letters
     }
 
--- a/crates/rig/src/routers.rs
+++ b/crates/rig/src/routers.rs
@@ -187,6 +187,11 @@
         !wait.timed_out()
     }
 
+    /// Its quillpoint.conf, which may be changed while it runs.
+    pub fn conf(&self, place: usize) -> &Path {
+        &self.all[place].files[1]
+    }
+
     /// Where the process listens for datagrams, past its relay.
     pub fn datagrams(&self, place: usize) -> SocketAddr {
         self.all[place].datagrams
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -137,6 +137,27 @@
     }
 }
 
+#[test]
+fn peers_that_a_changed_file_names_are_found_on_sighup() {
+    let (_store, mut routers, _listing) = three("found", Bond::Alone);
+    routers.start_all().unwrap();
+    (0..3).for_each(|place| _ = divided(&routers, &[place]));
+    // One of them is told of one other, and that one of the third: this is enough to be found by.
+    for (place, other) in [(0, 1), (1, 2)] {
+        let mut text = std::fs::read_to_string(routers.conf(place)).unwrap();
+        let address = routers.all[other].relay.address;
+        text.push_str(&format!("peer r{other} {{\n    address {address}\n}}\n"));
+        std::fs::write(routers.conf(place), text).unwrap();
+        routers.signal(place, "-HUP");
+    }
+    divided(&routers, &[0, 1, 2]);
+    // A fault in the file changes nothing but the log.
+    std::fs::write(routers.conf(0), "fleet {").unwrap();
+    routers.signal(0, "-HUP");
+    assert!(routers.await_line(0, "not taken over", NEVER));
+    divided(&routers, &[0, 1, 2]);
+}
+
 #[test]
 fn without_a_fleet_section_nothing_of_it_runs() {
     let (store, mut routers, _listing) = three("off", Bond::Off);
