Memory by purpose, first part: a ledger with guarantees and a pool, and a report each minute

Need: after weeks nobody can tell what a router's memory holds; the two sums there were knew no purposes. Change: package accounts (a ledger: each purpose has bytes of its own, borrows from a pool up to a cap, is refused beyond by cause; levels with hysteresis and what gives way at each), budget.rs holds by purpose (messages that come in, statements, answers; the parts of the memory stay an eighth and a quarter), event memory each minute and at the end with resident size and what has no account. Sessions, queued RPCs, record and fleet have no account yet: docs/ROADMAP.md. Measured: 300 random runs against books of their own; tests as before.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -13,8 +13,9 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
 use quillpoint::host::Outcome;
+use quillpoint_accounts::Purpose;
 
-use crate::budget::{Budget, Exhausted, Held};
+use crate::budget::{Accounts, Exhausted, Held};
 use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Rank, Side, Slot};
 use crate::engine::{Engine, Order};
@@ -78,10 +79,7 @@
     engine: Rc<Engine>,
     pool: Rc<Pool>,
     descriptors: Rc<Descriptors>,
-    /// For messages that have not come whole, and for statements under way: the ones must not crowd out the
-    /// others.
-    coming: Rc<Budget>,
-    held: Rc<Budget>,
+    accounts: Accounts,
     open_ids: Rc<OpenIds>,
     /// How long a message that has begun may take to arrive whole, and an answer to be read.
     patience: Duration,
@@ -100,7 +98,7 @@
         engine: Rc<Engine>,
         pool: Rc<Pool>,
         descriptors: Rc<Descriptors>,
-        (coming, held): (Rc<Budget>, Rc<Budget>),
+        accounts: Accounts,
         deployment: &Deployment,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -108,8 +106,7 @@
             engine,
             pool,
             descriptors,
-            coming,
-            held,
+            accounts,
             open_ids: Rc::default(),
             patience: deployment.longest_deadline.min(LONGEST_MESSAGE),
             longest_deadline: deployment.longest_deadline,
@@ -172,7 +169,7 @@
         self.open.borrow_mut().insert(number, close.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            if let Ok(memory) = clients.coming.hold(0) {
+            if let Ok(memory) = clients.accounts.hold(Purpose::Coming, 0) {
                 let (unread, discards, opening) = (Vec::new(), false, Some(Instant::now() + OPENING));
                 let clients = &clients;
                 let mut session =
@@ -391,7 +388,11 @@
             pg::put_error(out, false, "42710", "an RPC of this id is under way", None);
             return Ok(false);
         };
-        let memory = clients.held.hold(statement.size()).ok().filter(|_| engine.held() < clients.most_held);
+        let memory = clients
+            .accounts
+            .hold(Purpose::Statements, statement.size())
+            .ok()
+            .filter(|_| engine.held() < clients.most_held);
         let Some(memory) = memory else {
             put_no_room(out, false, "this router holds all the RPCs it may");
             return Ok(true);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -13,10 +13,6 @@
 
 /// Descriptors that are no sockets of peers: the standard streams, the reactor's own, the signal pipe.
 const RESERVED: usize = 16;
-/// The parts of the memory that may be held of messages that are coming in from clients, and of statements and
-/// answers under way, of which copies are sent on.
-const COMING_PART: usize = 8;
-const HELD_PART: usize = 4;
 /// Fewer than these leave no room for a client, a node and discovery at once.
 const FEWEST_SOCKETS: usize = 32;
 
@@ -29,9 +25,8 @@
     pub seed: u64,
     /// How many sockets the router may hold at once.
     pub sockets: usize,
-    /// How many bytes may be held of messages that come in, and of statements and answers under way.
-    pub coming: usize,
-    pub held: usize,
+    /// How many bytes the router may take in all.
+    pub memory: u64,
     /// The list of nodes as this router had it last.
     pub known: Page,
     pub deployment: Deployment,
@@ -60,7 +55,7 @@
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
             ("limits.sockets", self.sockets != other.sockets),
-            ("limits.memory_mb", self.held != other.held),
+            ("limits.memory_mb", self.memory != other.memory),
             ("settings", self.deployment.values.0 != other.deployment.values.0),
         ];
         changed.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
@@ -86,8 +81,8 @@
             .filter(|count| *count as usize >= FEWEST_SOCKETS)
             .ok_or_else(|| fault("limits.sockets", "a number of descriptors, 32 or more", sockets))?;
         let memory = match &tree["limits"]["memory_mb"] {
-            Json::Null => usize::MAX,
-            mb => mb.as_f64().filter(|mb| *mb >= 1.0).map(|mb| (mb * 1024.0 * 1024.0) as usize).ok_or_else(
+            Json::Null => u64::MAX,
+            mb => mb.as_f64().filter(|mb| *mb >= 1.0).map(|mb| (mb * 1024.0 * 1024.0) as u64).ok_or_else(
                 || fault("limits.memory_mb", "megabytes, 1 or more, or nothing for no limit", mb),
             )?,
         };
@@ -107,8 +102,7 @@
             discovery: address(text("GW_DISCOVERY", "discovery"))?,
             seed,
             sockets: sockets as usize - RESERVED,
-            coming: memory / COMING_PART,
-            held: memory / HELD_PART,
+            memory,
             known,
             deployment,
         })
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -12,6 +12,7 @@
 pub const NAMES: &[&str] = &[
     "serves",
     "drained",
+    "memory",
     "fleet_joined",
     "fleet_stopped",
     "fleet_peer",
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -12,8 +12,9 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use quillpoint::host::{NodeId, Outcome, Report, Role};
+use quillpoint_accounts::Purpose;
 
-use crate::budget::{Budget, Exhausted, Held};
+use crate::budget::{Accounts, Exhausted, Held};
 use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Parked, Rank, Side, Slot};
 use crate::engine::{CallOut, Chore, Engine, Heard};
@@ -90,7 +91,7 @@
 pub struct Pool {
     executor: Rc<LocalExecutor<'static>>,
     descriptors: Rc<Descriptors>,
-    budget: Rc<Budget>,
+    accounts: Accounts,
     nodes: RefCell<BTreeMap<NodeId, Node>>,
     next: Cell<u64>,
     connect_time_out: Duration,
@@ -102,13 +103,13 @@
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         descriptors: Rc<Descriptors>,
-        budget: Rc<Budget>,
+        accounts: Accounts,
         deployment: &Deployment,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
             descriptors,
-            budget,
+            accounts,
             nodes: RefCell::default(),
             next: Cell::new(0),
             connect_time_out: deployment.connect_time_out,
@@ -341,7 +342,7 @@
             }
             // It goes on when its call-out has ended: what has been paid for serves the next.
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
-            match Link::open(node, slot, &pool.budget).or(late).await {
+            match Link::open(node, slot, &pool.accounts).or(late).await {
                 Ok(link) if link.is_quiet() => pool.give_back(node, link),
                 Ok(_) => {
                     // More than a greeting came, so nothing that follows could be told apart from an answer.
@@ -409,10 +410,10 @@
 
 impl Link {
     /// Connects, and is greeted up to ReadyForQuery.
-    async fn open(node: NodeId, slot: Slot, budget: &Rc<Budget>) -> Result<Self, Fault> {
+    async fn open(node: NodeId, slot: Slot, accounts: &Accounts) -> Result<Self, Fault> {
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
-        let memory = budget.hold(0)?;
+        let memory = accounts.owner(Purpose::Answers);
         let mut link = Link { stream, unread: Vec::new(), memory, written: false, _slot: slot };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, USER, DATABASE);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,7 +8,7 @@
 use quillpoint::host::Extent;
 
 use crate::briefing::{Briefing, Refusal};
-use crate::budget::Budget;
+use crate::budget::Accounts;
 use crate::client::Clients;
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
@@ -17,6 +17,7 @@
 use crate::events;
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::report;
 use crate::signals;
 
 /// Serves until told to stop and drained. On SIGHUP `reread` is called for what holds from then on.
@@ -50,10 +51,11 @@
         None => None,
     };
     let peers_slot = if peers.is_some() { Some(descriptors.take().await) } else { None };
-    let (coming, held) = (Budget::new(launch.coming), Budget::new(launch.held));
-    let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), Rc::clone(&held), deployment);
+    let accounts = Accounts::of(launch.memory);
+    executor.spawn(report::each_minute(accounts.clone())).detach();
+    let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), accounts.clone(), deployment);
     let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
-    let clients = Clients::new(executors, engines, pools, descriptors, (coming, held), deployment);
+    let clients = Clients::new(executors, engines, pools, descriptors, accounts.clone(), deployment);
     let (moves, moved) = async_channel::unbounded();
     executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
@@ -79,6 +81,7 @@
         peers.leave();
     }
     drop((listener_slot, peers_slot));
+    report::tell(&accounts);
     log::info!(event = "drained"; "drained");
     Ok(())
 }
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
-use quillpoint_router::budget::{Budget, Held};
+use quillpoint_accounts::Purpose::{Answers, Coming, Statements};
+use quillpoint_router::budget::{Accounts, Held};
 use quillpoint_router::config::Launch;
 use quillpoint_router::directory;
 use quillpoint_router::list::{Page, Reader};
@@ -220,7 +221,8 @@
 fn no_more_is_held_than_the_budget_has_and_all_is_given_back() {
     check(
         (|limit: u16, sizes: Vec<(bool, u16)>| {
-            let budget = Budget::new(limit.into());
+            // An eighth is for messages that come in.
+            let accounts = Accounts::of(u64::from(limit) * 8);
             let (mut owners, mut sum): (Vec<(Held, usize)>, usize) = (Vec::new(), 0);
             for (again, size) in sizes.into_iter().map(|(again, size)| (again, usize::from(size / 4))) {
                 match owners.last_mut().filter(|_| again) {
@@ -231,7 +233,7 @@
                             (sum, *was) = (sum - *was + size, size);
                         }
                     }
-                    None => match budget.hold(size) {
+                    None => match accounts.hold(Coming, size) {
                         Ok(held) => {
                             sum += size;
                             owners.push((held, size));
@@ -241,11 +243,23 @@
                 }
             }
             owners.clear();
-            budget.hold(limit.into()).is_ok() && budget.hold(usize::from(limit) + 1).is_err()
+            accounts.hold(Coming, limit.into()).is_ok()
+                && accounts.hold(Coming, usize::from(limit) + 1).is_err()
         }) as fn(u16, Vec<(bool, u16)>) -> bool,
     );
 }
 
+#[test]
+fn statements_and_answers_share_a_quarter_and_neither_shuts_the_other_out() {
+    let accounts = Accounts::of(1 << 20);
+    let most = accounts.hold(Answers, (1 << 18) - (1 << 14)).unwrap();
+    assert!(accounts.hold(Answers, 1).is_err(), "the rest is statements' own");
+    assert!(accounts.hold(Statements, 1 << 14).is_ok());
+    drop(most);
+    assert!(accounts.hold(Statements, (1 << 18) - (1 << 14)).is_ok(), "and the other way round");
+    assert_eq!(accounts.look(|ledger| ledger.total_used()), 0, "all was given back");
+}
+
 #[test]
 fn two_keys_are_one_session_only_if_they_are_the_same() {
     let session = |text: &str| {
