--- a/crates/datagram/tests/datagrams.rs
+++ b/crates/datagram/tests/datagrams.rs
@@ -85,6 +85,9 @@
     assert_eq!(open(&sealer.seal(&theirs, Some(OWN), &ping()).unwrap()), Refusal::UnknownKey);
     let other = sealer.seal(&ours, Some(Incarnation(78)), &ping()).unwrap();
     assert_eq!(open(&other), Refusal::OtherSession);
+    // Even a hello, which may leave the start open, may not name another.
+    let other = sealer.seal(&ours, Some(Incarnation(78)), &letter(Body::Hello)).unwrap();
+    assert_eq!(open(&other), Refusal::OtherSession);
     let unknown = sealer.seal(&ours, None, &ping()).unwrap();
     assert_eq!(open(&unknown), Refusal::OtherSession, "only a hello may leave it open");
     // Of all these, none spoilt the window.
--- a/crates/rig/src/bin/duties.rs
+++ b/crates/rig/src/bin/duties.rs
@@ -9,6 +9,7 @@
 
 use hdrhistogram::Histogram;
 use lexopt::prelude::{Long, ValueExt};
+use plotters::prelude::*;
 use quillpoint_rig::listing::{Entry, Listing, targets};
 use quillpoint_rig::load::{Load, Outages};
 use quillpoint_rig::now;
@@ -32,6 +33,7 @@
   --long          fifty kills, and longer spans between faults
   --seed N        what is drawn by chance: whom to kill, and when (1)
   --record FILE   one JSON line for each phase
+  --plot FILE     the longest gap of each second through the kills, as SVG
 ";
 
 struct Wanted {
@@ -40,6 +42,7 @@
     program: PathBuf,
     folder: PathBuf,
     record: Option<PathBuf>,
+    plot: Option<PathBuf>,
 }
 
 fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
@@ -49,6 +52,7 @@
         program: PathBuf::from("target/release/quillpoint"),
         folder: PathBuf::from("target/measure-duties"),
         record: None,
+        plot: None,
     };
     let mut words = lexopt::Parser::from_env();
     while let Some(word) = words.next()? {
@@ -58,6 +62,7 @@
             Long("program") => wanted.program = words.value()?.into(),
             Long("folder") => wanted.folder = words.value()?.into(),
             Long("record") => wanted.record = Some(words.value()?.into()),
+            Long("plot") => wanted.plot = Some(words.value()?.into()),
             Long("help") => return Ok(None),
             other => return Err(other.unexpected()),
         }
@@ -226,6 +231,55 @@
     busy.chain(quiet).map(entry).collect()
 }
 
+/// The longest time that ended in each second in which nothing told any router of some node, and when kills were.
+fn plot(
+    path: &std::path::Path,
+    bench: &Bench,
+    from: Duration,
+    kills: &[Duration],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let seconds = (now() - from).as_secs() as usize;
+    let mut longest = vec![0.0_f64; seconds + 1];
+    for node in bench.nodes() {
+        let mut at = Duration::ZERO;
+        for gap in node.gaps(from, now()) {
+            at += gap;
+            if let Some(most) = longest.get_mut(at.as_secs() as usize) {
+                *most = most.max(gap.as_secs_f64());
+            }
+        }
+    }
+    let root = SVGBackend::new(path, (760, 360)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("Three routers, one killed again and again: longest gap of any node", ("sans-serif", 16))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..seconds as f64 + 1.0, 0.0..LONGEST_GAP * 1.1)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("longest gap, s")
+        .light_line_style(BLACK.mix(0.06))
+        .draw()?;
+    let points = longest.iter().enumerate().map(|(second, gap)| (second as f64 + 0.5, *gap));
+    chart
+        .draw_series(LineSeries::new(points, BLACK.stroke_width(2)))?
+        .label("longest gap")
+        .legend(|(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], BLACK.stroke_width(2)));
+    let marks = kills.iter().map(|at| Cross::new(((*at - from).as_secs_f64(), 0.02), 4, BLACK.mix(0.6)));
+    chart.draw_series(marks)?.label("a kill").legend(|(x, y)| Cross::new((x + 10, y), 4, BLACK.mix(0.6)));
+    let bound = [(0.0, LONGEST_GAP), (seconds as f64 + 1.0, LONGEST_GAP)];
+    chart
+        .draw_series(DashedLineSeries::new(bound, 6, 4, BLACK.stroke_width(1)))?
+        .label("the bound")
+        .legend(|(x, y)| PathElement::new(vec![(x, y), (x + 8, y)], BLACK.stroke_width(1)));
+    chart.configure_series_labels().background_style(WHITE.mix(0.9)).border_style(BLACK.mix(0.3)).draw()?;
+    root.present()?;
+    Ok(())
+}
+
 fn kill_and_restart(
     routers: &mut Routers,
     outages: &Outages,
@@ -270,9 +324,10 @@
     bench.phase("shared", from, &routers, &before);
 
     let (kills, from, before) = (if wanted.long { 50 } else { 8 }, now(), used(&routers));
-    let mut take_over: f64 = 0.0;
+    let (mut take_over, mut killed): (f64, Vec<Duration>) = (0.0, Vec::new());
     for _ in 0..kills {
         let (place, at) = (chance.random_range(0..ROUTERS), now());
+        killed.push(at);
         kill_and_restart(&mut routers, &outages, place, ms(chance.random_range(50..600)))?;
         sleep(ms(chance.random_range(300..900)));
         // What the killed one owned must have been probed again by others: no gap that begins around the kill.
@@ -288,6 +343,10 @@
         );
     }
     bench.phase("kills", from, &routers, &before);
+    if let Some(path) = &wanted.plot {
+        let drawn = plot(path, &bench, from, &killed);
+        drawn.map_err(|error| std::io::Error::other(format!("{}: {error}", path.display())))?;
+    }
     sleep(SETTLED);
 
     let (from, before) = (now(), used(&routers));
