Clients that read slowly are judged by their progress, and what they have not read is counted

Cause: an answer had the longest deadline and no more to be read, so that an honest client on a slow line lost long answers; and what was being written had no account. Seen: a client that reads 1.6 MB/s all the time was cut off after 6.8 MB of eight answers of 1 MB, with a longest deadline of 400 ms. Change: accounts::Progress (bytes that moved earn the time they take at 16 KiB/s; nothing moving for the longest deadline ends it, a quarter of that when memory is full); account buffers.writes, which is charged and never refused, so that a final answer always goes.

--- a/crates/accounts/src/ledger.rs
+++ b/crates/accounts/src/ledger.rs
@@ -88,27 +88,44 @@
     /// # Errors
     /// There is no room; nothing has changed then but the count of refusals.
     pub fn change(&mut self, purpose: Purpose, from: u64, to: u64) -> Result<(), Refused> {
+        let (used, borrowed) = self.after(purpose, from, to);
         let account = &mut self.accounts[purpose.place()];
-        // An owner gives back what it was given, so that this never goes below zero.
-        let used = account.used.saturating_sub(from).saturating_add(to);
-        let borrowed = self
-            .borrowed
-            .saturating_sub(account.borrowed_at(account.used))
-            .saturating_add(account.borrowed_at(used));
         if to > from {
             if used > account.share.most {
                 account.at_cap += 1;
                 return Err(Refused { purpose, cause: Cause::Cap });
             }
-            if borrowed > self.pool {
+            // What is its own is there even when others have been charged past the pool.
+            if borrowed > self.pool && borrowed > self.borrowed {
                 account.at_pool += 1;
                 return Err(Refused { purpose, cause: Cause::Pool });
             }
         }
+        self.enter(purpose, used, borrowed);
+        Ok(())
+    }
+
+    /// The same for what must go on whatever is held, as a final answer: it is never refused, and what it takes
+    /// beyond the pool makes others' requests be refused.
+    pub fn charge(&mut self, purpose: Purpose, from: u64, to: u64) {
+        let (used, borrowed) = self.after(purpose, from, to);
+        self.enter(purpose, used, borrowed);
+    }
+
+    /// What the purpose would hold, and what would be borrowed in all.
+    fn after(&self, purpose: Purpose, from: u64, to: u64) -> (u64, u64) {
+        let account = &self.accounts[purpose.place()];
+        // An owner gives back what it was given, so that this never goes below zero.
+        let used = account.used.saturating_sub(from).saturating_add(to);
+        let others = self.borrowed.saturating_sub(account.borrowed_at(account.used));
+        (used, others.saturating_add(account.borrowed_at(used)))
+    }
+
+    fn enter(&mut self, purpose: Purpose, used: u64, borrowed: u64) {
+        let account = &mut self.accounts[purpose.place()];
         (account.used, account.high) = (used, account.high.max(used));
         self.borrowed = borrowed;
         self.level = self.level.next(self.borrowed, self.pool);
-        Ok(())
     }
 
     pub fn used(&self, purpose: Purpose) -> u64 {
--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod ledger;
 pub mod level;
+pub mod progress;
 pub mod purpose;
 
 pub use ledger::{Cause, Faulty, Ledger, Refused, Share};
 pub use level::{Level, Relief};
+pub use progress::{Pace, Progress};
 pub use purpose::Purpose;
--- a/crates/accounts/src/purpose.rs
+++ b/crates/accounts/src/purpose.rs
@@ -8,6 +8,8 @@
     Statements,
     /// Answers of nodes that have not gone on to their clients whole.
     Answers,
+    /// What is being written to clients: answers that have been given and not been read.
+    Writes,
     /// RPCs that are held: what the module and the mailboxes keep of each.
     Queued,
     /// Sessions of clients.
@@ -21,10 +23,11 @@
 }
 
 impl Purpose {
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Coming,
         Self::Statements,
         Self::Answers,
+        Self::Writes,
         Self::Queued,
         Self::Clients,
         Self::Nodes,
@@ -43,6 +46,7 @@
             Self::Coming => "buffers.coming",
             Self::Statements => "buffers.statements",
             Self::Answers => "buffers.answers",
+            Self::Writes => "buffers.writes",
             Self::Queued => "queued",
             Self::Clients => "connections.clients",
             Self::Nodes => "connections.nodes",
--- a/crates/accounts/tests/ledger.rs
+++ b/crates/accounts/tests/ledger.rs
@@ -1,7 +1,9 @@
 //! What is admitted and refused, by plain cases and by random runs against books of their own.
 
 use quickcheck::{Gen, QuickCheck};
-use quillpoint_accounts::{Cause, Faulty, Ledger, Level, Purpose, Refused, Relief, Share};
+use std::time::Duration;
+
+use quillpoint_accounts::{Cause, Faulty, Ledger, Level, Pace, Progress, Purpose, Refused, Relief, Share};
 
 const KIB: u64 = 1024;
 
@@ -113,6 +115,43 @@
     );
 }
 
+#[test]
+fn what_must_go_on_is_charged_and_others_are_refused_for_it() {
+    let mut ledger = ledger();
+    ledger.charge(Purpose::Writes, 0, 90 * KIB);
+    assert_eq!((ledger.used(Purpose::Writes), ledger.level()), (90 * KIB, Level::Full));
+    assert_eq!(ledger.change(Purpose::Answers, 0, 1), refused(Purpose::Answers, Cause::Pool));
+    assert_eq!(ledger.change(Purpose::Coming, 0, 10 * KIB), Ok(()), "what is its own is there all the same");
+    ledger.charge(Purpose::Writes, 90 * KIB, 0);
+    assert_eq!((ledger.level(), ledger.change(Purpose::Answers, 0, 70 * KIB)), (Level::Calm, Ok(())));
+}
+
+#[test]
+fn a_peer_that_keeps_its_pace_is_waited_for_and_one_that_dribbles_is_not() {
+    let second = Duration::from_secs(1);
+    let pace = Pace { still: second * 2, least: 1000 };
+    // 1,500 bytes a second for a minute: there is always time left.
+    let mut honest = Progress::new(pace, second);
+    for at in 2..60 {
+        assert!(honest.until(false) > second * at);
+        honest.moved(second * at, 1500);
+    }
+    // One byte a second: moving all the time, it is over soon after what it had to begin with.
+    let mut dribbles = Progress::new(pace, second);
+    let over = (2..60).find(|at| {
+        let over = dribbles.until(false) <= second * *at;
+        dribbles.moved(second * *at, 1);
+        over
+    });
+    assert_eq!(over, Some(4));
+    // Nothing moves; and no burst earns time to stand still.
+    let mut still = Progress::new(pace, second);
+    assert_eq!(still.until(false), second * 3);
+    still.moved(second * 2, 1_000_000);
+    assert_eq!(still.until(false), second * 4);
+    assert_eq!(still.until(true), second * 2 + second / 2, "memory is full");
+}
+
 #[test]
 fn names_are_stable_and_differ() {
     let names: std::collections::BTreeSet<&str> = Purpose::ALL.into_iter().map(Purpose::name).collect();
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -29,6 +29,7 @@
             (Purpose::Coming, Share { own: coming, most: coming }),
             (Purpose::Statements, Share { own, most: held }),
             (Purpose::Answers, Share { own, most: held }),
+            (Purpose::Writes, Share { own: 0, most: held }),
         ];
         let ledger = Ledger::new(coming + held, &shares).expect("parts of one whole fit it");
         Self(Rc::new(RefCell::new(ledger)))
@@ -47,6 +48,12 @@
         Ok(held)
     }
 
+    /// For what must go on whatever is held.
+    pub fn charge(&self, purpose: Purpose, bytes: usize) -> Held {
+        self.0.borrow_mut().charge(purpose, 0, bytes as u64);
+        Held { accounts: self.clone(), purpose, bytes }
+    }
+
     /// The ledger as it stands.
     pub fn look<T>(&self, at: impl FnOnce(&Ledger) -> T) -> T {
         at(&self.0.borrow())
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -13,7 +13,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
 use quillpoint::host::Outcome;
-use quillpoint_accounts::Purpose;
+use quillpoint_accounts::{Pace, Progress, Purpose, Relief};
 
 use crate::budget::{Accounts, Exhausted, Held};
 use crate::deployment::Deployment;
@@ -38,6 +38,8 @@
 /// A close at once would be a reset, which can take the word of the fault back.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
+/// Bytes a second that a client must read of an answer, in the mean: a slow line does.
+const LEAST_PACE: u64 = 16 * 1024;
 /// A pause after a failed accept, so that a failure that lasts does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
@@ -169,16 +171,16 @@
         self.open.borrow_mut().insert(number, close.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            if let Ok(memory) = clients.accounts.hold(Purpose::Coming, 0) {
-                let (unread, discards, opening) = (Vec::new(), false, Some(Instant::now() + OPENING));
-                let clients = &clients;
-                let mut session =
-                    Session { clients, stream, unread, memory, close, closed, slot, discards, opening };
-                if let Err(end) = session.run().await {
-                    log::debug!("session {number}: {end}");
-                    session.part(&end).await;
-                }
+            let memory = clients.accounts.owner(Purpose::Coming);
+            let (unread, discards, opening) = (Vec::new(), false, Some(Instant::now() + OPENING));
+            let mut session =
+                Session { clients: &clients, stream, unread, memory, close, closed, slot, discards, opening };
+            if let Err(end) = session.run().await {
+                log::debug!("session {number}: {end}");
+                session.part(&end).await;
             }
+            // Its slot is free once it is no more.
+            drop(session);
             clients.open.borrow_mut().remove(&number);
         };
         self.executor.spawn(task).detach();
@@ -290,11 +292,27 @@
         rest.or(closing).or(long_enough).await;
     }
 
-    /// One write for an answer. A client that does not read it is not waited for for ever.
+    /// The writes of an answer. A client that does not read it is not waited for for ever, but one that reads on,
+    /// however long the answer.
     async fn send(&mut self, out: &[u8]) -> Result<(), End> {
-        let late = late(Instant::now() + self.clients.longest_deadline);
-        let written = async { Ok(self.stream.write_all(out).await?) };
-        written.or(late).await
+        let (began, accounts) = (Instant::now(), &self.clients.accounts);
+        let _memory = accounts.charge(Purpose::Writes, out.len().saturating_sub(PIECE));
+        let pace = Pace { still: self.clients.longest_deadline, least: LEAST_PACE };
+        let mut progress = Progress::new(pace, Duration::ZERO);
+        let mut left = out;
+        while !left.is_empty() {
+            let hurried = accounts.look(|ledger| ledger.calls_for(Relief::EndSlowest));
+            let late = late(began + progress.until(hurried));
+            let mut stream = &self.stream;
+            let written = async { Ok(stream.write(left).await?) };
+            let count = written.or(late).await?;
+            if count == 0 {
+                return Err(End::Left);
+            }
+            left = &left[count..];
+            progress.moved(began.elapsed(), count as u64);
+        }
+        Ok(())
     }
 
     /// Whether a session begins.
--- a/crates/router/src/report.rs
+++ b/crates/router/src/report.rs
@@ -37,7 +37,8 @@
             event = "memory", resident, unaccounted, refused, level:? = ledger.level(),
             buffers_coming = used(Purpose::Coming), buffers_coming_high = high(Purpose::Coming),
             buffers_statements = used(Purpose::Statements), buffers_statements_high = high(Purpose::Statements),
-            buffers_answers = used(Purpose::Answers), buffers_answers_high = high(Purpose::Answers);
+            buffers_answers = used(Purpose::Answers), buffers_answers_high = high(Purpose::Answers),
+            buffers_writes = used(Purpose::Writes), buffers_writes_high = high(Purpose::Writes);
             "{resident} bytes resident, {unaccounted} of them without an account"
         );
     });
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -284,6 +284,30 @@
     assert!(held.iter_mut().all(|client| client.reply() == ok()));
 }
 
+/// Guards against a client on a slow line that reads all the time and is cut off in the middle of a long answer, as
+/// the longest deadline was once all the time that an answer had.
+#[test]
+fn a_client_that_reads_slowly_gets_its_long_answers_whole() {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    let hasty = configuration(&discovery, &list, 64).replace("9000.0", "400.0");
+    let router = Running::start(&hasty);
+    let mut client = router.client();
+    assert_eq!(client.rpc("look", 400), ok());
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Fills(1_000_000)));
+    // More than sockets' buffers take, all asked for at once.
+    let all: Vec<u8> = (0..8).flat_map(|_| pg::query(statement("look", 400).as_bytes())).collect();
+    client.send(&all);
+    let (mut bytes, mut piece) = (0, vec![0; 32 * 1024]);
+    while bytes < 8_000_000 {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        let count = std::io::Read::read(&mut client.stream, &mut piece).unwrap();
+        assert!(count > 0, "cut off after {bytes} bytes");
+        bytes += count;
+    }
+}
+
 #[test]
 fn what_there_is_no_memory_for_is_pushed_back() {
     let (primary, replica) = (Node::start(true), Node::start(false));
