--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -70,13 +70,6 @@
         self.values.get(&(directive.section, title.to_string(), directive.name))
     }
 
-    pub fn flag(&self, section: &str, title: &str, name: &str) -> Option<bool> {
-        match self.find(section, title, name)? {
-            Value::Flag(flag) => Some(*flag),
-            _ => None,
-        }
-    }
-
     pub fn span(&self, section: &str, title: &str, name: &str) -> Option<Duration> {
         match self.find(section, title, name)? {
             Value::Span(span) => Some(*span),
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -7,8 +7,6 @@
 /// What a directive takes, with its bounds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
-    /// `on` or `off`.
-    Flag,
     /// A whole number and a unit: `us`, `ms`, `s`, `min`, `h`.
     Span {
         least: Duration,
@@ -35,7 +33,6 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Value {
-    Flag(bool),
     Span(Duration),
     Size(u64),
     Count(u64),
@@ -48,7 +45,6 @@
     /// What is expected, in words.
     pub fn wanted(&self) -> String {
         match self {
-            Self::Flag => "on or off".to_string(),
             Self::Span { least, most } => {
                 format!("a time from {} to {}, as 250ms", span(*least), span(*most))
             }
@@ -66,11 +62,6 @@
     /// The value, if the word is one of this kind and within bounds.
     pub fn value(&self, word: &str) -> Option<Value> {
         match self {
-            Self::Flag => match word {
-                "on" => Some(Value::Flag(true)),
-                "off" => Some(Value::Flag(false)),
-                _ => None,
-            },
             Self::Span { least, most } => {
                 let (number, unit) = split(word)?;
                 let micros = SPANS.iter().find(|(name, _)| *name == unit)?.1.checked_mul(number)?;
@@ -122,7 +113,6 @@
 impl std::fmt::Display for Value {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Flag(flag) => f.write_str(if *flag { "on" } else { "off" }),
             Self::Span(value) => f.write_str(&span(*value)),
             Self::Size(bytes) => f.write_str(&size(*bytes)),
             Self::Count(count) => write!(f, "{count}"),
--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -174,11 +174,6 @@
         (self.duties.values().filter(|duty| duty.place == Some(0)).count(), self.duties.len())
     }
 
-    /// When anybody last did it, as far as is known here.
-    pub fn last_done(&self, id: DutyId) -> Option<Duration> {
-        self.duties.get(&id)?.done
-    }
-
     pub fn is_known(&self, id: DutyId) -> bool {
         self.duties.contains_key(&id)
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -165,10 +165,6 @@
         &self.book
     }
 
-    pub fn host(&mut self) -> &mut H {
-        &mut self.host
-    }
-
     pub fn probe_of(&self, node: SocketAddr) -> DutyId {
         DutyId { kind: self.plans.probe.kind, subject: Subject::Node(node) }
     }
--- a/crates/rig/src/bin/duties.rs
+++ b/crates/rig/src/bin/duties.rs
@@ -133,6 +133,45 @@
     }
 }
 
+/// The first bounded read of a router that has just started, where a probe takes 30 ms: its times over many starts.
+#[derive(Serialize)]
+struct FirstReads {
+    first_reads: &'static str,
+    starts: usize,
+    p50_ms: f64,
+    max_ms: f64,
+    ok: u64,
+}
+
+const SLOW_PROBE: Duration = Duration::from_millis(30);
+
+fn first_reads(
+    name: &'static str,
+    busy: &Store,
+    routers: &mut Routers,
+    starts: usize,
+) -> std::io::Result<FirstReads> {
+    busy.nodes.iter().for_each(|node| node.slow_probes(SLOW_PROBE));
+    let address = [routers.all[0].address];
+    let (mut times, mut ok) = (Vec::new(), 0);
+    for _ in 0..starts {
+        routers.kill(0);
+        routers.start(0)?;
+        // A front sends clients once a router answers, and some time later: it has heard from its peers by then.
+        sleep(Duration::from_millis(300));
+        let load = Load::of(&address, 1, Duration::from_millis(400), &["recent"]);
+        sleep(Duration::from_millis(200));
+        let tally = load.end();
+        ok += tally.ok.load(std::sync::atomic::Ordering::SeqCst);
+        times.extend(tally.times.lock().map(|times| times.first().copied()).unwrap_or_default());
+    }
+    busy.nodes.iter().for_each(|node| node.slow_probes(Duration::ZERO));
+    times.sort_unstable();
+    let ms = |time: Option<&u64>| time.copied().unwrap_or_default() as f64 / 1000.0;
+    let (p50_ms, max_ms) = (ms(times.get(times.len() / 2)), ms(times.last()));
+    Ok(FirstReads { first_reads: name, starts, p50_ms, max_ms, ok })
+}
+
 /// The last line.
 #[derive(Serialize)]
 struct Figures {
@@ -397,9 +436,10 @@
     sleep(SETTLED);
     bench.phase("all restarted", from, &routers, &[Duration::ZERO; ROUTERS]);
     let tally = load.end();
-    let mut contrasts = Vec::new();
+    let (mut contrasts, mut firsts) = (Vec::new(), Vec::new());
     if wanted.long {
         contrasts.push(contrast("shared", &bench.busy, &addresses, 40));
+        firsts.push(first_reads("shared", &bench.busy, &mut routers, 20)?);
     }
     drop(routers);
 
@@ -415,6 +455,7 @@
         load.end();
         if wanted.long && bond == Bond::Off {
             contrasts.push(contrast("off", &bench.busy, &addresses, 40));
+            firsts.push(first_reads("off", &bench.busy, &mut routers, 20)?);
         }
     }
 
@@ -468,6 +509,9 @@
         ("a router that was told to stop did not end well", drained),
         ("one lossy way killed a peer", false_deaths == 0),
     ];
+    for first in &firsts {
+        println!("{}", serde_json::to_string(first)?);
+    }
     for contrast in &contrasts {
         println!("{}", serde_json::to_string(contrast)?);
     }
@@ -477,6 +521,9 @@
         for phase in &bench.phases {
             writeln!(file, "{}", serde_json::to_string(phase)?)?;
         }
+        for first in &firsts {
+            writeln!(file, "{}", serde_json::to_string(first)?)?;
+        }
         for contrast in &contrasts {
             writeln!(file, "{}", serde_json::to_string(contrast)?)?;
         }
--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -31,6 +31,8 @@
 struct Inner {
     books: Mutex<Books>,
     up: AtomicBool,
+    /// How long a probe waits for its answer, in milliseconds.
+    slow_ms: AtomicU64,
 }
 
 /// One node.
@@ -82,7 +84,11 @@
         ledger: Arc<Mutex<BTreeMap<String, u32>>>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let inner = Arc::new(Inner { books: Mutex::default(), up: AtomicBool::new(true) });
+        let inner = Arc::new(Inner {
+            books: Mutex::default(),
+            up: AtomicBool::new(true),
+            slow_ms: AtomicU64::new(0),
+        });
         let node = Self { address: listener.local_addr()?, primary, lag, inner, ledger };
         let served = node.clone();
         thread::spawn(move || {
@@ -98,6 +104,11 @@
         self.inner.up.store(up, Ordering::SeqCst);
     }
 
+    /// From now on probes are answered so much later, as beyond a slow link.
+    pub fn slow_probes(&self, by: Duration) {
+        self.inner.slow_ms.store(by.as_millis() as u64, Ordering::SeqCst);
+    }
+
     fn is_up(&self) -> bool {
         self.inner.up.load(Ordering::SeqCst)
     }
@@ -158,6 +169,9 @@
                 return;
             }
             let text = String::from_utf8_lossy(&text);
+            if text == "SHOW load" {
+                thread::sleep(Duration::from_millis(self.inner.slow_ms.load(Ordering::SeqCst)));
+            }
             let out = self.answer(&text);
             if stream.write_all(&out).is_err() {
                 return;
