Duties are counted when something has changed, and not at each tick

Found by reading the whole change again: the fleet counted all its duties fifty times a second to tell of changes, set a time that nobody read before a leave, and had an accessor that nobody calls. Behaviour is the same; tests of fleet, lab and router as before.

--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -76,10 +76,11 @@
         Self { me, duties: BTreeMap::new(), candidates: Vec::new(), scheduler }
     }
 
-    /// The routers that own duties by now. This one owns none while it is not among them.
-    pub fn view_changed(&mut self, now: Duration, candidates: Vec<Candidate>) {
+    /// The routers that own duties by now. This one owns none while it is not among them. Whether they are others
+    /// than before.
+    pub fn view_changed(&mut self, now: Duration, candidates: Vec<Candidate>) -> bool {
         if candidates == self.candidates {
-            return;
+            return false;
         }
         self.candidates = candidates;
         for (id, duty) in &mut self.duties {
@@ -91,6 +92,7 @@
             duty.place = place;
             schedule(&mut self.scheduler, *id, duty);
         }
+        true
     }
 
     /// The subjects of a kind, with their zones: those that are not named are forgotten.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -43,6 +43,8 @@
     records: BTreeMap<PeerName, Vec<Vec<News>>>,
     next_flush: Duration,
     told: (usize, usize, usize),
+    /// The nodes have changed since the duties were last counted.
+    recount: bool,
 }
 
 impl<H: Host> Fleet<H> {
@@ -58,6 +60,7 @@
             records: BTreeMap::new(),
             next_flush: now,
             told: (0, 0, 0),
+            recount: true,
         };
         fleet.host.wake(Duration::ZERO);
         fleet
@@ -114,6 +117,7 @@
         self.book.nodes_changed(&all);
         let subjects = nodes.iter().map(|(node, zone)| (Subject::Node(*node), *zone)).collect();
         self.duties.subjects_changed(now, self.plans.probe, &subjects);
+        self.recount = true;
     }
 
     pub fn seeds_changed(&mut self, now: Duration, seeds: Vec<SocketAddr>) {
@@ -147,7 +151,6 @@
         if self.members.me().state == State::Left {
             return;
         }
-        self.next_flush = now;
         self.flush(now);
         self.members.leave(&mut self.host);
         self.duties.view_changed(now, Vec::new());
@@ -161,10 +164,6 @@
         &self.duties
     }
 
-    pub fn book(&self) -> &Book {
-        &self.book
-    }
-
     pub fn probe_of(&self, node: SocketAddr) -> DutyId {
         DutyId { kind: self.plans.probe.kind, subject: Subject::Node(node) }
     }
@@ -182,7 +181,10 @@
             view.clear();
         }
         let routers = view.len();
-        self.duties.view_changed(now, view);
+        // Looked at each tick, counted only when something has changed: there may be thousands of duties.
+        if !(self.duties.view_changed(now, view) | std::mem::take(&mut self.recount)) {
+            return;
+        }
         let (owned, all) = self.duties.owned();
         if self.told != (owned, all, routers) {
             self.told = (owned, all, routers);
