A router that is told to stop answers all it holds before it ends

Now the module is told (ends_by) and cuts the time of all it holds.

The test loses three answers without the change.

--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -361,10 +361,13 @@
         (deadlines().min().unwrap_or_default(), deadlines().max().unwrap_or_default())
     }
 
-    /// No RPC that comes from now on is waited for any longer.
+    /// No RPC is waited for any longer than this, be it held by now or yet to come.
     pub fn end_by(&self, end: Instant) {
         let left = end.saturating_duration_since(Instant::now());
-        self.ends.set(Some(self.clock.now() + left));
+        let end = self.clock.now() + left;
+        self.ends.set(Some(end));
+        self.desk.live.borrow_mut().values_mut().for_each(|live| live.deadline = live.deadline.min(end));
+        self.tell(|router, now| router.ends_by(now, end));
     }
 
     /// The RPC's id, and where its orders arrive.
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -343,6 +343,22 @@
     assert!(router.ended().success());
 }
 
+#[test]
+fn what_would_outlast_a_router_that_is_told_to_stop_is_answered_before_it_ends() {
+    let (_, replica, mut router, _discovery) = pair();
+    replica.set(Does::Waits);
+    // The platform kills it 3.7 s after the signal at the latest, however long its clients would wait.
+    let mut clients: Vec<Client> = (0..3).map(|_| router.client()).collect();
+    clients.iter_mut().for_each(|client| client.ask(&statement("look", 9000)));
+    replica.await_queries(3);
+    router.signal("-TERM");
+    for client in &mut clients {
+        let reply = client.reply();
+        assert!(matches!(reply, Reply::Error(..)), "{reply:?}");
+    }
+    assert!(router.ended().success());
+}
+
 #[test]
 fn a_router_that_is_told_to_stop_serves_its_clients_on_and_lets_go_of_them_bit_by_bit() {
     let (primary, replica) = (Node::start(true), Node::start(false));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
 //! its one method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`,
-//! `probe_ended`, `client_left`, `timer_fired`; `peer_told` where routers share what they find. It acts by
-//! calling the [`Host`] it was given (see `host.rs`). A host that had to wait for a connection asks
+//! `probe_ended`, `client_left`, `timer_fired`, `ends_by`; `peer_told` where routers share what they find. It
+//! acts by calling the [`Host`] it was given (see `host.rs`). A host that had to wait for a connection asks
 //! `still_goes` before it writes, and any asks `may_pass` before it gives an ok to a client.
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
@@ -349,6 +349,15 @@
         self.forget(rpc);
     }
 
+    /// This router itself is to end: what it holds is answered by then, however long its clients would wait.
+    pub fn ends_by(&mut self, now: Duration, end: Duration) {
+        for (id, held) in &mut self.held {
+            held.deadline = held.deadline.min(end);
+            self.due.insert((now, *id));
+        }
+        self.arm(now);
+    }
+
     pub fn timer_fired(&mut self, now: Duration) {
         self.armed = self.armed.filter(|at| *at > now);
         while let Some((at, id)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
