Long any-reads keep to one member only where bounded reads are shorter

Ruled out: short connection tables (none refused), restarts (they begin at 2.5 s), the list. The guard was made for long reads that keep replicas from the log; where bounded reads are as long, keeping the others off is of no use. Now an any-read counts as long only if it takes twice as long as each bounded method.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -152,7 +152,7 @@
         let guess = soft.as_secs_f64() / 4.0;
         let span = (now + SHORTEST_SPAN, 0.0, 0.0);
         let deadline = values.span(&path("deadline")).unwrap_or(soft);
-        let (present, shortest, first_try) = (guess, guess, (Duration::ZERO, 0.0));
+        let (present, shortest, first_try) = (guess, guess, Default::default());
         Some(Method { need, repeats, soft, deadline, first_try, utility, late, present, shortest, span })
     }
 
@@ -407,8 +407,7 @@
             member.carried *= (-passed / CARRIED_OVER).exp();
             // The part of its capacity that a node is known to have by now.
             let age = member.started.map_or(time, |at| now.saturating_sub(at)).min(time);
-            let part = if age == time { 1.0 } else { age.div_duration_f64(time) };
-            member.warmth = from + (1.0 - from) * part;
+            member.warmth = from + (1.0 - from) * if age == time { 1.0 } else { age.div_duration_f64(time) };
             // What a cold node may be sent, evenly: what nodes of its kind carry in the mean for this router,
             // which leaves margin, times that part and the permitted multiple (see also `list_changed`).
             let (sum, count) = kinds.get(&member.kind).copied().unwrap_or((0.0, 1.0));
@@ -438,8 +437,8 @@
             self.host.close_idle(node);
         }
         let least = self.tightest / SWEEPS_PER_BOUND;
-        let due =
-            |m: &Member| m.shut && !m.stopped && m.probe_ended + least * 2u32.pow(m.failed_probes) <= now;
+        let wait = |m: &Member| least * 2u32.pow(m.failed_probes);
+        let due = |m: &Member| m.shut && !m.stopped && m.probe_ended + wait(m) <= now;
         let shut: Vec<NodeId> = self.members.iter().filter(|(_, m)| due(m)).map(|(node, _)| *node).collect();
         shut.into_iter().for_each(|node| self.probe(node));
         for group in self.groups.keys().copied().collect::<Vec<_>>() {
@@ -738,9 +737,13 @@
         if room.iter().any(|(proven, _, _)| *proven) {
             room.retain(|(proven, _, _)| *proven);
         }
-        // Guards against long reads that keep replicas from applying the log: all go to the last member.
+        // Guards against long reads that keep replicas from applying the log: all go to the last member. Where
+        // bounded reads are as long, that would only fill it.
         let method = &self.methods[held.rpc.method.0];
-        if method.need == Need::Any && 2.0 * method.shortest > self.tightest.as_secs_f64() {
+        let keeps_off =
+            |m: &Method| !matches!(m.need, Need::Bounded(_)) || method.shortest > 2.0 * m.shortest;
+        let long = 2.0 * method.shortest > self.tightest.as_secs_f64() && self.methods.iter().all(keeps_off);
+        if method.need == Need::Any && long {
             room.drain(..room.len().saturating_sub(1));
         }
         if let Ok((_, node, _)) = room.choose_weighted(&mut self.chance, |(_, _, weight)| *weight) {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -243,9 +243,26 @@
 #[test]
 fn long_any_reads_keep_to_one_member() {
     let mut stage = stage(4, 0, &[("methods.1.soft_deadline", Value::Span(ms(2400)))]);
+    stage.pass(ms(100));
     assert!(sent(&mut stage, 1, None, 6).iter().all(|at| *at == node(4)));
 }
 
+#[test]
+fn any_reads_no_longer_than_bounded_ones_fill_no_single_member() {
+    // Each of 300 routers would have its first ones out at the same member.
+    let slow = |name| (name, Value::Span(ms(2400)));
+    let change =
+        [slow("methods.0.soft_deadline"), slow("methods.1.soft_deadline"), ("routers", Value::Number(300.0))];
+    let mut most = std::collections::BTreeMap::new();
+    for seed in 0..300 {
+        let mut stage = Stage::new(6, seed, &change);
+        stage.pass(ms(100));
+        let id = stage.arrive(1, LONG, None);
+        stage.sent_to(id).into_iter().for_each(|at| *most.entry(at).or_insert(0) += 1);
+    }
+    assert!(most.values().all(|sends| *sends < 100), "{most:?}");
+}
+
 #[test]
 fn a_repeat_past_its_soft_deadline_is_not_served() {
     // First tries wait 300 ms here, and the whole deadline is 600 ms: 250 ms left tell that 350 ms have gone.
