A router of many does not rest where the node says that nothing waits

But each answer says how many wait there, which counts all routers. Where none does, no rest is due. Ruled out: cold budget (cold 0), full limits (full 0 to 5 of 22).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -519,11 +519,13 @@
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
             // Guards against many routers with one in flight each: below one, the node rests between two.
             let crowded = (calmest / CROWDED).max(1.0).powi(2);
-            let rests = if lost { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
+            // Where the node says that nothing waits there, all routers' sum is well: what one sees is too little.
+            let queue = end.report.map_or(member.queue, |report| report.waiting);
+            let free = lost || queue.is_some_and(|queue| queue < 0.5);
+            let rests = if free { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
             let rest = end.took.mul_f64(rests).min(LONGEST_REST);
             member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
-            let carried = if end.outcome == Ok { method.shortest / CARRIED_OVER } else { 0.0 };
-            member.carried += carried;
+            member.carried += if end.outcome == Ok { method.shortest / CARRIED_OVER } else { 0.0 };
             if end.outcome == Ok || (end.outcome == TimedOut && !lost) {
                 method.present += (took - method.present) * WEIGHT;
                 method.span.1 += took;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -389,6 +389,19 @@
     assert!([out(Some(4.0), 18), out(None, 18), out(Some(0.0), 25)].iter().all(|out| *out < 8));
 }
 
+#[test]
+fn a_router_of_many_does_not_rest_where_nothing_waits() {
+    // The part of a limit that one of 300 routers has is far below one call-out; one with several times the mean of
+    // the RPCs would be held back by it before a node that is idle.
+    let out = |queue| {
+        let mut stage = stage(2, 0, &[("routers", Value::Number(300.0))]);
+        stage.queue = Some(queue);
+        let sent = |_| sent(&mut stage, 4, None, 1).len();
+        (0..20).map(sent).sum::<usize>()
+    };
+    assert_eq!((out(0.0), out(3.0)), (20, 4), "one and what is saved up, where RPCs wait");
+}
+
 #[test]
 fn no_jam_is_held_against_a_node_for_long() {
     // Many routers, and answers that took seconds in a jam: the rest after them was minutes.
