A probe answered with 57P03 has failed, and a node that was down squeezes no connections

Now 57P03 is ConnectFailed, and a failed probe clears the count of refusals. Both tests fail without their half.

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -279,7 +279,10 @@
                             log::debug!("a node answered {code}: {message}");
                             outcome = Some(match code.as_str() {
                                 "25006" | "72000" => Outcome::Miss,
-                                "53300" | "57P03" => Outcome::Full,
+                                "53300" => Outcome::Full,
+                                // It is down, or not up yet. Were that an answer, it would pass for a node that
+                                // is up and short of connections.
+                                "57P03" => Outcome::ConnectFailed,
                                 _ => Outcome::Error,
                             });
                             if fatal {
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -82,6 +82,19 @@
     assert_eq!((primary.queries().len(), replica.queries().len()), (1, 1));
 }
 
+#[test]
+fn a_node_whose_probe_says_that_it_is_down_is_sent_nothing() {
+    let (_, replica, router, _discovery) = pair();
+    let mut client = router.client();
+    assert_eq!(client.rpc("look", 9000), ok());
+    replica.set(Does::Down);
+    let before = replica.queries().len();
+    for _ in 0..8 {
+        client.rpc("look", 300);
+    }
+    assert_eq!(replica.queries().len(), before + 1, "the first finds out, and the probe confirms it");
+}
+
 #[test]
 fn a_node_that_turns_an_rpc_away_does_not_word_the_answer() {
     let (primary, _, router, _discovery) = pair();
--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -43,6 +43,8 @@
     Adds(&'static [u8]),
     /// Answers, with a load report that cannot be read.
     Misreports,
+    /// Is down: tells so whatever it is asked, a probe too.
+    Down,
 }
 
 /// What a node does with new connections.
@@ -137,7 +139,10 @@
             let load = format!("x0={:.3},x1={}", now as f64 / 1000.0, u8::from(state.primary));
             let mut out = Vec::new();
             if text == "SHOW load" {
-                pg::put_answer(&mut out, &answer(load.as_bytes()));
+                match state.does {
+                    Does::Down => pg::put_error(&mut out, false, "57P03", "down", None),
+                    _ => pg::put_answer(&mut out, &answer(load.as_bytes())),
+                }
                 pg::put_ready(&mut out);
                 drop(state);
                 _ = stream.write_all(&out);
@@ -155,6 +160,7 @@
             match does {
                 _ if misplaced => pg::put_error(&mut out, false, "25006", "this is a replica", None),
                 Does::Breaks => return,
+                Does::Down => pg::put_error(&mut out, false, "57P03", "down", None),
                 Does::Errs(code) => pg::put_error(&mut out, false, code, "as told", None),
                 Does::Says(bytes) => out.extend(bytes),
                 Does::Fills(length) => pg::put_answer(&mut out, &answer(&vec![b'v'; length])),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,7 +287,8 @@
                 self.members.keys().for_each(|node| self.host.close_idle(*node));
             }
         } else {
-            member.failed_probes = (member.failed_probes + 1).min(DOUBLINGS);
+            // What refused is down, and not short of connections: others' and its own next process' go on.
+            (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(DOUBLINGS), 0);
             self.lose_primary(now, group, node);
         }
         self.note_report(now, node, report.as_ref());
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -201,6 +201,19 @@
     assert_eq!(stage.sent_to(id).len(), 2);
 }
 
+#[test]
+fn a_node_that_was_down_costs_no_connections_once_it_is_back() {
+    let mut stage = stage(2, 0, &[]);
+    let refused = stage.arrive(4, LONG, None);
+    stage.end(refused, Outcome::ConnectFailed);
+    stage.end_probes(|_| false);
+    stage.pass(ms(200));
+    stage.end_probes(|_| true);
+    assert_eq!(stage.sent_to(refused).len(), 2);
+    stage.end(refused, Outcome::Ok);
+    assert!(stage.books.0.borrow().closed.is_empty(), "it was short of none");
+}
+
 #[test]
 fn an_rpc_that_errs_at_two_nodes_is_itself_at_fault() {
     let mut stage = stage(6, 0, &[]);
