What a router may have saved up in probes is little, and a fresh one asks node by node

Now what is saved up is what 100 RPCs have earned, and a group of which nobody has been heard is asked three times a node by all routers together, so that in the deployments of two or three routers the whole group still is, as the design says.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,6 +38,8 @@
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
+const FIRST_PROBES: f64 = 3.0; // at a node that none of them has heard yet, by all routers together
+const PROBES_SAVED: f64 = 100.0; // RPCs whose probes may be saved up, and are at the start
 const WEIGHT: f64 = 0.05; // of one answer: some twenty make up a node's present answer time
 const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
 const UNQUEUED: f64 = 2.0; // the same where the node itself says that nothing waits there
@@ -58,8 +60,7 @@
 const UNSENT: f64 = 0.45; // of its time, when an RPC that no node was sent is given up: past half is paid for
 const SURE: f64 = 20.0; // so many more tries must have waited alike before another is taken for a repeat
 const CARRIED_OVER: f64 = 2.0; // seconds over which about what a node carries is counted
-/// All routers' least call-outs to a cold node in the overload span; the part of the span that is saved up.
-const COLD_FLOOR: f64 = 4.0;
+const COLD_FLOOR: f64 = 4.0; // all routers' least call-outs to a cold node a span; the part of it saved up
 const MOST_TOKENS: usize = 10_000; // past it, the newest stands in for all here too
 const PROBE_WORK: f64 = 0.1; // of the heaviest RPC's: what a probe in turn takes of a cold node's credit
 const ASK_AGAIN: Duration = millis(300); // after a failure of the list; then twice as long each time
@@ -235,7 +236,7 @@
         if method.need != Need::Write {
             group.share = (group.share + PRIMARY_SHARE).min(PRIMARY_SAVED);
         }
-        self.probes = (self.probes + self.probes_earned).min(2.0 * self.members.len() as f64);
+        self.probes = (self.probes + self.probes_earned).min(self.probes_earned * PROBES_SAVED);
         // Each tenant's saved-up share of this router's part of its quota, a second's worth at most.
         let quota = self.values.number(&format!("tenants.{}.quota", rpc.tenant.0));
         let quota = quota.unwrap_or(f64::MAX) / self.routers;
@@ -467,7 +468,8 @@
         nodes.retain(|node| self.members[node].is_open() && due(&self.members[node]));
         let probing = nodes.iter().any(|node| self.members[node].probing);
         let unheard = nodes.iter().all(|node| self.members[node].heard.is_none());
-        let few = if unheard { nodes.len() } else { usize::from(!probing) };
+        let all = (FIRST_PROBES * nodes.len() as f64 / self.routers).ceil() as usize;
+        let few = if unheard { all } else { usize::from(!probing) };
         let asked: Vec<NodeId> = nodes.sample(&mut self.chance, few).copied().collect();
         asked.into_iter().for_each(|node| self.probe(node));
     }
@@ -475,6 +477,7 @@
     fn learn(&mut self, now: Duration, end: &CallEnd) {
         use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Spoilt, TimedOut};
         let connect = self.values.span("allowed.connect_time_out").unwrap_or(Duration::MAX);
+        let calmest = self.calmest();
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
         let place = member.out.iter().position(|out| (out.rpc, out.call) == (end.rpc, end.call));
@@ -495,8 +498,6 @@
         if !refused && now < self.squeezed && member.out.is_empty() {
             self.host.close_idle(end.node);
         }
-        let calmest = self.calmest();
-        let Some(member) = self.members.get_mut(&end.node) else { return };
         let held = self.held.get(&end.rpc);
         if let Some(method) = held.and_then(|held| self.methods.get_mut(held.rpc.method.0)) {
             // Failures tell on a node's health, but nothing of queueing there.
@@ -523,8 +524,8 @@
             // Guards against many routers with one in flight each: below one, the node rests between two.
             let crowded = (calmest / CROWDED).max(1.0).powi(2);
             // Where the node says that nothing waits there, all routers' sum is well: what one sees is too little.
-            let queue = end.report.map_or(member.queue, |report| report.waiting);
-            let free = lost || queue.is_some_and(|queue| queue < 0.5);
+            let free =
+                lost || end.report.map_or(member.queue, |said| said.waiting).is_some_and(|of| of < 0.5);
             let rests = if free { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
             let rest = end.took.mul_f64(rests).min(LONGEST_REST);
             member.rests_until = member.rests_until.max(now.saturating_sub(rest * RESTS_SAVED)) + rest;
@@ -742,8 +743,7 @@
         if room.iter().any(|(proven, _, _)| *proven) {
             room.retain(|(proven, _, _)| *proven);
         }
-        // Guards against long reads that keep replicas from applying the log: all go to the last member. Where
-        // bounded reads are as long, that would only fill it.
+        // Guards against reads longer than bounded ones that keep replicas from the log: all to the last member.
         let method = &self.methods[held.rpc.method.0];
         let keeps_off =
             |m: &Method| !matches!(m.need, Need::Bounded(_)) || method.shortest > 2.0 * m.shortest;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -360,6 +360,26 @@
     assert!((20..=32).contains(&probes), "a tenth of 200, and what was saved up: {probes}");
 }
 
+#[test]
+fn a_fleet_that_starts_asks_each_node_a_few_times_and_not_once_for_each_router() {
+    let change = [("routers", Value::Number(300.0)), ("prices.probe", Value::Number(0.08))];
+    let mut stages: Vec<Stage> = (0..300).map(|seed| Stage::new(20, seed, &change)).collect();
+    let count =
+        |stages: &[Stage]| stages.iter().map(|stage| stage.books.0.borrow().probes.len()).sum::<usize>();
+    for stage in &mut stages {
+        stage.arrive(0, LONG, None);
+    }
+    assert_eq!(count(&stages), 300, "one each, though nobody has been heard: 15 a node");
+    // Nobody answers: what each may have saved up is little, as 300 times it is paid for.
+    let mut all = 0;
+    for _ in 0..100 {
+        all += count(&stages);
+        stages.iter_mut().for_each(|stage| stage.end_probes(|_| false));
+        stages.iter_mut().for_each(|stage| stage.pass(ms(37)));
+    }
+    assert!(all <= 300 * 13, "{all}");
+}
+
 #[test]
 fn reads_keep_off_a_zone_whose_link_is_slow() {
     // Odd nodes are in one zone and answer in time, even ones in the other and late.
