--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod host;
 pub mod logic;
+mod look;
 mod state;
 
 pub use logic::{HOLD, Router};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,7 +70,7 @@
     chance: ChaCha8Rng,
     values: ValueMap,
     methods: Vec<Method>,
-    members: BTreeMap<NodeId, Member>,
+    pub(crate) members: BTreeMap<NodeId, Member>,
     groups: BTreeMap<GroupId, Group>,
     held: BTreeMap<RpcId, Held>,
     due: BTreeSet<(Duration, RpcId)>,
@@ -288,7 +288,7 @@
                 self.members.keys().for_each(|node| self.host.close_idle(*node));
             }
         } else {
-            // What refused is down, and not short of connections: others' and its own next process' go on.
+            // What refused is down, and not short of connections.
             (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(DOUBLINGS), 0);
             self.lose_primary(now, group, node);
         }
@@ -332,21 +332,6 @@
         true
     }
 
-    /// Whether this router itself does not reach the node, so that no other's probe is of use to it.
-    pub fn is_shut(&self, node: NodeId) -> bool {
-        self.members.get(&node).is_some_and(|member| member.shut)
-    }
-
-    /// When the node started, where that is known.
-    pub fn started(&self, node: NodeId) -> Option<Duration> {
-        self.members.get(&node)?.started
-    }
-
-    /// The nodes that are on the list.
-    pub fn nodes(&self) -> impl Iterator<Item = (NodeId, ZoneId)> {
-        self.members.iter().filter(|(_, member)| !member.gone).map(|(node, member)| (*node, member.zone))
-    }
-
     pub fn client_left(&mut self, rpc: RpcId) {
         self.forget(rpc);
     }
@@ -523,7 +508,7 @@
             member.limit = member.limit.max((LEAST_LIMIT / self.routers).min(1.0));
             // Guards against many routers with one in flight each: below one, the node rests between two.
             let crowded = (calmest / CROWDED).max(1.0).powi(2);
-            // Where the node says that nothing waits there, all routers' sum is well: what one sees is too little.
+            // What one of many sees is too little: where the node says that nothing waits, all is well.
             let free =
                 lost || end.report.map_or(member.queue, |said| said.waiting).is_some_and(|of| of < 0.5);
             let rests = if free { 0.0 } else { (crowded / member.limit - 1.0).max(0.0) };
@@ -743,7 +728,7 @@
         if room.iter().any(|(proven, _, _)| *proven) {
             room.retain(|(proven, _, _)| *proven);
         }
-        // Guards against reads longer than bounded ones that keep replicas from the log: all to the last member.
+        // Guards against reads longer than bounded ones that keep replicas from the log: all go to the last.
         let method = &self.methods[held.rpc.method.0];
         let keeps_off =
             |m: &Method| !matches!(m.need, Need::Bounded(_)) || method.shortest > 2.0 * m.shortest;
