--- a/src/logic.rs
+++ b/src/logic.rs
@@ -766,7 +766,7 @@
         if let Some(node) = next {
             return Pick::Node(node);
         }
-        // While no primary is known, all members are asked.
+        // While no primary is known, the members are asked, one after the other.
         let members = self.groups[&held.rpc.group].members.iter().copied().collect();
         self.probe_for(now, members);
         Pick::Wait
