Rule stale: a write whose client had left counted for no session

The rule counts each write whose ok this instance got, whoever still waits for it.

Change: what a call-out writes for is kept beside the call-out (`Out::writes`), which lives until its outcome, and not beside the RPC. It can't come back by another way: an ok is told once for each call-out, and its entry is there until then.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -485,7 +485,8 @@
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
         let place = member.out.iter().position(|out| (out.rpc, out.call) == (end.rpc, end.call));
-        let lost = place.is_none_or(|place| member.out.swap_remove(place).is_lost(now));
+        let out = place.map(|place| member.out.swap_remove(place));
+        let lost = out.as_ref().is_none_or(|out| out.is_lost(now));
         // A refusal comes at once; a connect that takes its whole time is one that a bad link has lost.
         let refused = end.outcome == ConnectFailed && end.took < connect;
         member.refused = if refused { member.refused + 1 } else { 0 };
@@ -549,9 +550,9 @@
         if let Some(position) = end.position {
             // A commit is rounded up, all else down.
             self.note_position(now, end.node, position.saturating_sub(millis(1)));
-            let held = self.held.get(&end.rpc).filter(|_| end.outcome == Ok && self.remembers);
-            let wrote = held.filter(|held| self.methods[held.rpc.method.0].need == Need::Write);
-            if let Some(session) = wrote.and_then(|held| held.rpc.session) {
+            // Also of a write whose client has left: its session must see it once its ok is here.
+            let wrote = out.filter(|_| end.outcome == Ok && self.remembers).and_then(|out| out.writes);
+            if let Some(session) = wrote {
                 let token = self.tokens.entry((group, session)).or_default();
                 *token = position.max(*token);
             }
@@ -936,7 +937,8 @@
         let lost_at = now + Duration::from_secs_f64(LOST * expected);
         // A probe that lets a read go has paid for itself; all others share what RPCs have earned.
         self.probes += f64::from(u8::from(member.probe_ended == now));
-        member.out.push(Out { rpc: id, call, expected, lost_at });
+        let writes = held.rpc.session.filter(|_| method.need == Need::Write);
+        member.out.push(Out { rpc: id, call, expected, lost_at, writes });
         member.credit -= method.shortest;
         held.calls.push(Call { node, sent: now, outcome: None, needs });
         self.due.insert((held.deadline.saturating_sub(self.tick), id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::host::{CallNo, GroupId, MethodId, NodeId, Outcome, Report, Role, Rpc, RpcId, ZoneId};
+use crate::host::{CallNo, GroupId, MethodId, NodeId, Outcome, Report, Role, Rpc, RpcId, SessionKey, ZoneId};
 
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Need {
@@ -140,6 +140,8 @@
     pub call: CallNo,
     pub expected: f64,
     pub lost_at: Duration,
+    /// The session that it writes for. Kept here, as its RPC may be over before its answer comes.
+    pub writes: Option<SessionKey>,
 }
 
 impl Out {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -48,6 +48,20 @@
     assert!(sent(&mut stage, 2, Some(ms(900)), 20).contains(&node(2)));
 }
 
+#[test]
+fn a_session_read_sees_also_the_write_whose_ok_came_after_its_client_had_left() {
+    let change = [("replication.session_marks", Value::Text("remembered".into()))];
+    let mut stage = stage(3, 500, &change);
+    let write = stage.arrive(4, LONG, None);
+    stage.leave(write);
+    stage.pass(ms(20));
+    let now = stage.now();
+    stage.set_position(3, now);
+    stage.end(write, Outcome::Ok);
+    // Node 3 has shown nothing since, node 2 lags: only the primary is known to have the commit.
+    assert!(sent(&mut stage, 2, None, 20).iter().all(|at| *at == node(1)));
+}
+
 #[test]
 fn reads_that_no_replica_may_answer_go_to_the_primary_up_to_a_tenth() {
     let mut stage = stage(2, 500, &[]);
