--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,7 @@
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
 const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
+const SWEEP_PER_NODE: Duration = millis(1); // the least of that work's period for each node, as it goes through all
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
@@ -89,6 +90,7 @@
     fullness: f64,     // mean root (few do not stand for all) of what nodes say they hold against limits
     routers: f64,
     swept: Duration,
+    released: Duration, // when what waits was last gone through
     armed: Option<Duration>,
     longest_retry: Duration,
     advised: Duration, // no longer time to come back is told
@@ -118,7 +120,8 @@
             advised: if values.denies("allowed.retry_after") { Duration::ZERO } else { Duration::MAX },
             longest_retry: values.span("allowed.longest_retry_after").unwrap_or_default(),
             checked: values.text("replication.read_check") != "none",
-            remembers: values.text("replication.session_marks") == "remembered",
+            remembers: values.text("replication.session_marks") == "remembered"
+                && methods.iter().any(|method| method.need == Need::Session),
             probes_earned: PROBE_SPEND / values.number("prices.probe").unwrap_or(0.0).max(1e-3),
             probes: if values.flag("allowed.probes") { f64::MAX } else { 0.0 },
             routers: values.number("routers").unwrap_or(1.0).max(1.0),
@@ -130,6 +133,7 @@
             due: BTreeSet::new(),
             tokens: BTreeMap::new(),
             swept: now,
+            released: now,
             zones: BTreeMap::new(),
             squeezed: now,
             armed: None,
@@ -363,12 +367,28 @@
             self.due.remove(&(at, id));
             self.rpc_due(now, id);
         }
-        if self.swept + self.tightest / SWEEPS_PER_BOUND <= now {
+        if self.swept + self.period() <= now {
             self.sweep(now);
         }
+        if self.released + self.tightest / SWEEPS_PER_BOUND <= now {
+            self.release(now);
+        }
         self.arm(now);
     }
 
+    fn period(&self) -> Duration {
+        (self.tightest / SWEEPS_PER_BOUND).max(SWEEP_PER_NODE * self.members.len() as u32)
+    }
+
+    /// Rests end, credit and probes are earned without an event: so what waits is gone through now and then.
+    fn release(&mut self, now: Duration) {
+        self.released = now;
+        let waiting = self.held.values().filter(|held| held.waits).map(|held| held.rpc.group);
+        for group in waiting.collect::<BTreeSet<_>>() {
+            self.dispatch(now, group);
+        }
+    }
+
     fn settle(&mut self, now: Duration, group: GroupId) {
         self.dispatch(now, group);
         self.arm(now);
@@ -376,8 +396,10 @@
 
     /// One timer: for the next of the periodic work and of the due times.
     fn arm(&mut self, now: Duration) {
-        let sweep = self.swept + self.tightest / SWEEPS_PER_BOUND;
-        let next = self.due.first().map_or(sweep, |(at, _)| sweep.min(*at)).max(now);
+        let sweep = self.swept + self.period();
+        let release = self.released + self.tightest / SWEEPS_PER_BOUND;
+        let next = if self.held.is_empty() { sweep } else { sweep.min(release) };
+        let next = self.due.first().map_or(next, |(at, _)| next.min(*at)).max(now);
         if self.armed.is_none_or(|at| at > next) {
             self.armed = Some(next);
             self.host.wake(next - now);
@@ -441,9 +463,7 @@
         let due = |m: &Member| m.shut && !m.stopped && m.probe_ended + wait(m) <= now && wanted(m);
         let shut: Vec<NodeId> = self.members.iter().filter(|(_, m)| due(m)).map(|(node, _)| *node).collect();
         shut.into_iter().for_each(|node| self.probe(node));
-        for group in self.groups.keys().copied().collect::<Vec<_>>() {
-            self.dispatch(now, group);
-        }
+        self.release(now);
     }
 
     /// The one place that probes: one at a time at a node, and no more than RPCs have earned.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -559,6 +559,24 @@
     assert!(!stage.router.still_goes(now, read, at), "its RPC is over");
 }
 
+#[test]
+fn with_many_nodes_and_nothing_held_a_router_wakes_as_seldom_as_it_may() {
+    let stage = stage(120, 0, &[]);
+    let next = |stage: &Stage| *stage.books.0.borrow().wakes.iter().min().unwrap() - stage.now();
+    assert!(next(&stage) <= ms(38), "a read is held, and what it waits for may come without an event");
+    let mut stage = Stage::new(120, 1, &[]);
+    let mut fired = 0;
+    for _ in 0..100 {
+        let span = next(&stage);
+        stage.pass(span);
+        fired += 1;
+        if stage.now() >= ms(101_000) {
+            break;
+        }
+    }
+    assert!(fired <= 10, "120 nodes, 120 ms: {fired} times in a second");
+}
+
 #[test]
 fn where_only_drains_bind_what_dropped_out_is_kept_while_it_serves_and_forgotten_once_it_is_dead() {
     let mut stage = stage(3, 0, &[("rules.only_listed_drains", Value::Flag(true))]);
