A connect cut short by its RPC's own time is no refusal: idle connections stay open

Where it showed was not the cause: nodes were said to refuse connections, and the module gave back all idle ones so that others got some (`squeezed`). By the written-out batches nobody was short: of 15,598 failed connects 12,685 took the whole 250 ms of a connect, and 2,913 took exactly their call-out's own shorter time-out. `learn` took the latter for refusals (shorter than a connect's time), the probe was answered, and each closed the idle connections to all nodes: 79,472 closes, after each of which a call-out had to open one, 100 to 380 ms slower and up to 9.4 times dearer than usual. Ruled out: nodes that close idle connections (a model of idle ones over the same batches foretells all but 12 of the failed connects; it shows too that a time-out closes its connection). Change: a refusal comes before the connect's time and before the call-out's own (`Out::time_out`). Guards as well against any path on which connects are slow and clients impatient. A refusal that takes just as long as a call-out would be missed.

The new test fails on the old code.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -507,8 +507,9 @@
         let place = member.out.iter().position(|out| (out.rpc, out.call) == (end.rpc, end.call));
         let out = place.map(|place| member.out.swap_remove(place));
         let lost = out.as_ref().is_none_or(|out| out.is_lost(now));
-        // A refusal comes at once; a connect that takes its whole time is one that a bad link has lost.
-        let refused = end.outcome == ConnectFailed && end.took < connect;
+        // A refusal comes at once; a connect that takes its whole time, or its RPC's, tells of no shortage.
+        let in_time = out.as_ref().is_some_and(|out| end.took < connect.min(out.time_out));
+        let refused = end.outcome == ConnectFailed && in_time;
         member.refused = if refused { member.refused + 1 } else { 0 };
         // Guards against answering a node that is full, or has no connection left, with the next call-out.
         let rests = end.outcome == Full || (refused && now < self.squeezed);
@@ -958,7 +959,7 @@
         // A probe that lets a read go has paid for itself; all others share what RPCs have earned.
         self.probes += f64::from(u8::from(member.probe_ended == now));
         let writes = held.rpc.session.filter(|_| method.need == Need::Write);
-        member.out.push(Out { rpc: id, call, expected, lost_at, writes });
+        member.out.push(Out { rpc: id, call, expected, lost_at, writes, time_out });
         member.credit -= method.shortest;
         held.calls.push(Call { node, sent: now, outcome: None, needs });
         self.due.insert((held.deadline.saturating_sub(self.tick), id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,7 @@
     pub lost_at: Duration,
     /// The session that it writes for. Kept here, as its RPC may be over before its answer comes.
     pub writes: Option<SessionKey>,
+    pub time_out: Duration,
 }
 
 impl Out {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -217,6 +217,18 @@
     assert_eq!(stage.sent_to(id).len(), 2);
 }
 
+#[test]
+fn a_connect_cut_short_by_its_rpcs_own_time_tells_of_no_shortage() {
+    let mut stage = stage(2, 0, &[("allowed.connect_time_out", Value::Span(ms(250)))]);
+    // The write may be late, so it goes on until its client gives up, which is before a connect would.
+    let write = stage.arrive(4, ms(120), None);
+    stage.pass(ms(118));
+    stage.took = Some((ms(118), ms(118)));
+    stage.end(write, Outcome::ConnectFailed);
+    stage.end_probes(|_| true);
+    assert!(stage.books.0.borrow().closed.is_empty(), "connections that are open are worth more than ever");
+}
+
 #[test]
 fn a_node_that_was_down_costs_no_connections_once_it_is_back() {
     let mut stage = stage(2, 0, &[]);
