A node that says RPCs wait, or is full, gets nothing until a probe says otherwise

Where reports carry no number of RPCs held, only of those that wait, told_load was empty. By the written-out batches a node says that RPCs wait at 16 call-outs out in half of all probes, at 32 in 95%. Change: that RPCs wait stands in for what is held: no room; Full is such a word; both hold until a probe says otherwise.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -494,7 +494,13 @@
 
     /// Guards against sending blindly where only probes tell what nodes hold, and that is much.
     fn asks_first(&self, now: Duration, member: &Member) -> bool {
-        self.probes_only && self.fullness > CALM && self.said(now, member).is_none()
+        let queued = member.said.is_some_and(|(_, said)| Self::is_queued(&said));
+        self.probes_only && (queued || self.fullness > CALM) && self.said(now, member).is_none()
+    }
+
+    /// Where a node does not say what it holds, that RPCs wait there says that it has no room.
+    fn is_queued(report: &Report) -> bool {
+        report.active.is_none() && report.waiting.is_some_and(|waiting| waiting >= 0.5)
     }
 
     fn learn(&mut self, now: Duration, end: &CallEnd) {
@@ -514,6 +520,10 @@
         // Guards against answering a node that is full, or has no connection left, with the next call-out.
         let rests = end.outcome == Full || (refused && now < self.squeezed);
         member.rests_until = if rests { now + HOLD } else { member.rests_until };
+        // Guards against hundreds of routers that come again and again: a probe has to say that there is room.
+        if end.outcome == Full && self.probes_only {
+            member.said = Some((now, Report { waiting: Some(1.0), ..Report::default() }));
+        }
         match end.outcome {
             Ok | Error | Full | Miss | Spoilt => (member.missed, member.shut) = (0.0, false),
             // Guards against dead processes and cut links: a probe decides. A reset may be a lost answer.
@@ -844,7 +854,8 @@
 
     /// This router's part of what the node says it holds.
     fn told_load(&self, now: Duration, member: &Member) -> Option<f64> {
-        Some(self.said(now, member).filter(|_| self.probes_only)?.active? / self.routers)
+        let said = self.said(now, member).filter(|_| self.probes_only)?;
+        if Self::is_queued(&said) { Some(member.limit) } else { Some(said.active? / self.routers) }
     }
 
     /// Which line it waits in: further call-outs in the second.
