A probe that fails at once is made again before it counts: three in a row

One failed probe lost the primary, so writes were spent on a search for another while the old one served all other routers. Change: a probe that fails at once (no connection, reset) is repeated up to three times before its node counts as down; one that hangs counts as ever. The wait between probes of a shut node doubles from the third failure on. Guards as well against any path that loses some of all; costs two probes at each dead process.

The new test fails on the old code.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,8 @@
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
 const SWEEP_PER_NODE: Duration = millis(1); // the least of that work's period for each node, as it goes through all
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
-const DOUBLINGS: u32 = 5; // of the time until a shut node is probed again, from one sweep on
+const PROBES_FAIL: u32 = 3; // in a row and at once, before a node counts as down: a bad link loses some
+const DOUBLINGS: u32 = 7; // of the time until a shut node is probed again, from one sweep on
 const PROBE_SPEND: f64 = 0.01; // of the result, on probes: each RPC earns some, by their price
 const FIRST_PROBES: f64 = 3.0; // at a node that none of them has heard yet, by all routers together
 const PROBES_SAVED: f64 = 100.0; // RPCs whose probes may be saved up, and are at the start
@@ -297,7 +298,11 @@
         }
         // A failed probe drops the node until a later one answers (the design's); an error is an answer too.
         let answered = matches!(end, Outcome::Ok | Outcome::Error | Outcome::Full);
-        (member.probing, member.probe_ended, member.shut) = (false, now, !answered);
+        // Guards against a link that loses some of all: what fails at once is tried again before it counts.
+        let again =
+            matches!(end, Outcome::ConnectFailed | Outcome::Reset) && member.failed_probes + 1 < PROBES_FAIL;
+        (member.probing, member.probe_ended) = (false, now);
+        member.shut = if again { member.shut } else { !answered };
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
             // Guards against a shortage: a node that is up and refuses has no connection left. All go back.
@@ -308,7 +313,11 @@
         } else {
             // What refused is down, and not short of connections.
             (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(DOUBLINGS), 0);
-            self.lose_primary(now, group, node);
+            if again {
+                self.probe(node);
+            } else {
+                self.lose_primary(now, group, node);
+            }
         }
         self.note_report(now, node, report.as_ref());
         self.settle(now, group);
@@ -457,7 +466,9 @@
             self.groups.entry(group).or_default().members.remove(&node);
             self.host.close_idle(node);
         }
-        let wait = |m: &Member| self.tightest / SWEEPS_PER_BOUND * 2u32.pow(m.failed_probes);
+        let wait = |m: &Member| {
+            self.tightest / SWEEPS_PER_BOUND * 2u32.pow(m.failed_probes.saturating_sub(PROBES_FAIL - 1))
+        };
         // Guards against hundreds of routers that keep asking a dead node for which none of them has an RPC.
         let wanted = |m: &Member| self.groups[&m.group].wanted >= m.probe_ended;
         let due = |m: &Member| m.shut && !m.stopped && m.probe_ended + wait(m) <= now && wanted(m);
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -133,6 +133,21 @@
     assert!(sent(&mut stage, 1, None, 40).contains(&node(2)));
 }
 
+#[test]
+fn a_primary_is_lost_only_to_the_third_probe_in_a_row_that_fails_at_once() {
+    let mut stage = stage(3, 0, &[]);
+    stage.pass(ms(20));
+    let write = stage.arrive(4, LONG, None);
+    stage.end(write, Outcome::ConnectFailed);
+    for round in 0..3 {
+        assert_eq!(stage.sent_to(write), [node(1)], "round {round}: no search for another yet");
+        assert_eq!(std::mem::take(&mut stage.books.0.borrow_mut().probes), [node(1)], "asked again at once");
+        let now = stage.now();
+        stage.router.probe_ended(now, node(1), Outcome::ConnectFailed, None);
+    }
+    assert_eq!(stage.sent_to(write), [node(1), node(2)], "and now the search");
+}
+
 #[test]
 fn a_fresh_router_holds_its_first_read_for_its_probes() {
     let mut stage = Stage::new(3, 1, &[]);
