--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,7 @@
 //! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
-//! its one method for each thing that happens: `list_changed`, `list_failed`, `rpc_arrived`, `call_ended`,
-//! `probe_ended`, `client_left`, `timer_fired`, `ends_by`; `peer_told` where routers share what they find. It
-//! acts by calling the [`Host`] it was given (see `host.rs`). A host that had to wait for a connection asks
-//! `still_goes` before it writes, and any asks `may_pass` before it gives an ok to a client.
+//! its one method for each thing that happens, `peer_told` too where routers share what they find. It acts by
+//! calling its [`Host`], which asks `still_goes` before a write that has waited for its connection, and
+//! `may_pass` before it gives an ok to a client.
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node, or what it says it holds, follows the ratio of the shortest answer
@@ -36,7 +35,7 @@
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
 const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
-const SWEEP_PER_NODE: Duration = millis(1); // the least of that work's period for each node, as it goes through all
+const SWEEP_PER_NODE: Duration = millis(1); // that work goes through all nodes: its least period for each
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const PROBES_FAIL: u32 = 3; // in a row and at once, before a node counts as down: a bad link loses some
 const DOUBLINGS: u32 = 7; // of the time until a shut node is probed again, from one sweep on
@@ -47,9 +46,10 @@
 const TOLERANCE: f64 = 1.15; // of the shortest answer time, which leaves a limit: a little queueing is good
 const CALM: f64 = 0.5; // of what nodes say they hold against their limits: past it, they are asked first
 const SHED: i32 = 8; // past 1.0 of the same, by this power of it fewer reads are let in, and probes earned
+const NO_ROOM: Option<f64> = Some(f64::INFINITY); // taken for what a node holds that says RPCs wait
 const MOST_FULL: f64 = 3.0; // a node counts for: what one says of itself may be spoilt
 const ASKING: f64 = 2.0; // times as many probes are earned where they alone tell what nodes hold
-const UNQUEUED: f64 = 2.0; // the same where the node itself says that nothing waits there
+const UNQUEUED: f64 = 2.0; // in place of TOLERANCE where the node itself says that nothing waits there
 const IN_USE: f64 = 0.7; // the part of a limit that must be in use for it to grow
 const FIRST_LIMIT: f64 = 10.0; // at a node, of all routers together
 const LEAST_LIMIT: f64 = 6.0; // the same at the least, or one each where they are few
@@ -214,6 +214,7 @@
             }
         }
         self.sweep(now);
+        self.release(now);
         self.arm(now);
     }
 
@@ -274,9 +275,8 @@
     pub fn call_ended(&mut self, now: Duration, mut end: CallEnd) {
         // Guards against a spoilt position: the highest told would hold for good. A commit is rounded up.
         end.position = end.position.filter(|at| *at <= now + HOLD);
-        if let Some(held) = self.held.get_mut(&end.rpc)
-            && let Some(call) = held.calls.get_mut(end.call.0 as usize)
-        {
+        let held = self.held.get_mut(&end.rpc);
+        if let Some(call) = held.and_then(|held| held.calls.get_mut(end.call.0 as usize)) {
             call.outcome = Some(end.outcome);
         }
         self.learn(now, &end);
@@ -299,10 +299,9 @@
         // A failed probe drops the node until a later one answers (the design's); an error is an answer too.
         let answered = matches!(end, Outcome::Ok | Outcome::Error | Outcome::Full);
         // Guards against a link that loses some of all: what fails at once is tried again before it counts.
-        let again =
-            matches!(end, Outcome::ConnectFailed | Outcome::Reset) && member.failed_probes + 1 < PROBES_FAIL;
-        (member.probing, member.probe_ended) = (false, now);
-        member.shut = if again { member.shut } else { !answered };
+        let again = !answered && end != Outcome::TimedOut && member.failed_probes + 1 < PROBES_FAIL;
+        (member.probing, member.probe_ended, member.shut) =
+            (false, now, !answered && (member.shut || !again));
         if answered {
             (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
             // Guards against a shortage: a node that is up and refuses has no connection left. All go back.
@@ -313,11 +312,7 @@
         } else {
             // What refused is down, and not short of connections.
             (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(DOUBLINGS), 0);
-            if again {
-                self.probe(node);
-            } else {
-                self.lose_primary(now, group, node);
-            }
+            if again { self.probe(node) } else { self.lose_primary(now, group, node) }
         }
         self.note_report(now, node, report.as_ref());
         self.settle(now, group);
@@ -379,9 +374,7 @@
         if self.swept + self.period() <= now {
             self.sweep(now);
         }
-        if self.released + self.tightest / SWEEPS_PER_BOUND <= now {
-            self.release(now);
-        }
+        self.release(now);
         self.arm(now);
     }
 
@@ -466,15 +459,13 @@
             self.groups.entry(group).or_default().members.remove(&node);
             self.host.close_idle(node);
         }
-        let wait = |m: &Member| {
-            self.tightest / SWEEPS_PER_BOUND * 2u32.pow(m.failed_probes.saturating_sub(PROBES_FAIL - 1))
-        };
+        let doublings = |m: &Member| m.failed_probes.saturating_sub(PROBES_FAIL - 1);
+        let wait = |m: &Member| self.tightest / SWEEPS_PER_BOUND * 2u32.pow(doublings(m));
         // Guards against hundreds of routers that keep asking a dead node for which none of them has an RPC.
         let wanted = |m: &Member| self.groups[&m.group].wanted >= m.probe_ended;
         let due = |m: &Member| m.shut && !m.stopped && m.probe_ended + wait(m) <= now && wanted(m);
         let shut: Vec<NodeId> = self.members.iter().filter(|(_, m)| due(m)).map(|(node, _)| *node).collect();
         shut.into_iter().for_each(|node| self.probe(node));
-        self.release(now);
     }
 
     /// The one place that probes: one at a time at a node, and no more than RPCs have earned.
@@ -505,13 +496,8 @@
 
     /// Guards against sending blindly where only probes tell what nodes hold, and that is much.
     fn asks_first(&self, now: Duration, member: &Member) -> bool {
-        let queued = member.said.is_some_and(|(_, said)| Self::is_queued(&said));
-        self.probes_only && (queued || self.fullness > CALM) && self.said(now, member).is_none()
-    }
-
-    /// Where a node does not say what it holds, that RPCs wait there says that it has no room.
-    fn is_queued(report: &Report) -> bool {
-        report.active.is_none() && report.waiting.is_some_and(|waiting| waiting >= 0.5)
+        let full = member.said.is_some_and(|(_, said)| said.active == NO_ROOM);
+        self.probes_only && (full || self.fullness > CALM) && self.said(now, member).is_none()
     }
 
     fn learn(&mut self, now: Duration, end: &CallEnd) {
@@ -521,8 +507,7 @@
         let queue = self.members.get(&end.node).and_then(|member| self.said(now, member)?.waiting);
         let Some(member) = self.members.get_mut(&end.node) else { return };
         let (group, took) = (member.group, end.took.as_secs_f64());
-        let place = member.out.iter().position(|out| (out.rpc, out.call) == (end.rpc, end.call));
-        let out = place.map(|place| member.out.swap_remove(place));
+        let out = member.out.extract_if(.., |out| (out.rpc, out.call) == (end.rpc, end.call)).next();
         let lost = out.as_ref().is_none_or(|out| out.is_lost(now));
         // A refusal comes at once; a connect that takes its whole time, or its RPC's, tells of no shortage.
         let in_time = out.as_ref().is_some_and(|out| end.took < connect.min(out.time_out));
@@ -531,9 +516,9 @@
         // Guards against answering a node that is full, or has no connection left, with the next call-out.
         let rests = end.outcome == Full || (refused && now < self.squeezed);
         member.rests_until = if rests { now + HOLD } else { member.rests_until };
-        // Guards against hundreds of routers that come again and again: a probe has to say that there is room.
+        // Guards against hundreds of routers that come again and again: a probe must say that there is room.
         if end.outcome == Full && self.probes_only {
-            member.said = Some((now, Report { waiting: Some(1.0), ..Report::default() }));
+            member.said = Some((now, Report { active: NO_ROOM, ..Report::default() }));
         }
         match end.outcome {
             Ok | Error | Full | Miss | Spoilt => (member.missed, member.shut) = (0.0, false),
@@ -593,8 +578,9 @@
             // A commit is rounded up, all else down.
             self.note_position(now, end.node, position.saturating_sub(millis(1)));
             // Also of a write whose client has left: its session must see it once its ok is here.
-            let wrote = out.filter(|_| end.outcome == Ok && self.remembers).and_then(|out| out.writes);
-            if let Some(session) = wrote {
+            if let Some(session) =
+                out.filter(|_| end.outcome == Ok && self.remembers).and_then(|out| out.writes)
+            {
                 let token = self.tokens.entry((group, session)).or_default();
                 *token = position.max(*token);
             }
@@ -608,7 +594,9 @@
     /// A report is old: the position in it is the least age that its word on the role can have.
     fn note_report(&mut self, now: Duration, node: NodeId, report: Option<&Report>) {
         let (Some(report), Some(member)) = (report, self.members.get_mut(&node)) else { return };
-        member.said = Some((now, *report));
+        // Where a node does not say what it holds, that RPCs wait there says that it has no room.
+        let queued = NO_ROOM.filter(|_| report.waiting.is_some_and(|waiting| waiting >= 0.5));
+        member.said = Some((now, Report { active: report.active.or(queued), ..*report }));
         if let Some(active) = report.active.filter(|_| self.probes_only) {
             let part = (active.max(0.0) / (member.limit * self.routers)).sqrt().min(MOST_FULL);
             self.fullness += (part - self.fullness) * WEIGHT;
@@ -865,8 +853,7 @@
 
     /// This router's part of what the node says it holds.
     fn told_load(&self, now: Duration, member: &Member) -> Option<f64> {
-        let said = self.said(now, member).filter(|_| self.probes_only)?;
-        if Self::is_queued(&said) { Some(member.limit) } else { Some(said.active? / self.routers) }
+        Some(self.said(now, member).filter(|_| self.probes_only)?.active? / self.routers)
     }
 
     /// Which line it waits in: further call-outs in the second.
