Rule drain: a drained node that was forgotten and is called gone again is not sent to

A node drained, was called gone, was forgotten once nothing was out there, and a further "gone" made it a new entry that had never drained; where only drains bind such a node may be sent to. Ruled out: the gate (it asks `stopped`), the forgetting itself (only after a drain and with nothing out, as it says). Change: who is called gone and is not known is not taken in; nothing lets a forgotten drain back but being listed as healthy.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -185,6 +185,9 @@
         // A node that is new on a list known before has just started, even if no time is told.
         let new = (!self.members.is_empty() && extent == Extent::Changes).then_some(now);
         for entry in list {
+            if entry.condition == Condition::Gone && !self.members.contains_key(&entry.node) {
+                continue; // it may have drained and been forgotten since
+            }
             let member = self.members.entry(entry.node).or_insert_with(|| Member {
                 group: entry.group,
                 zone: entry.zone,
@@ -214,7 +217,6 @@
             }
         }
         self.sweep(now);
-        self.release(now);
         self.arm(now);
     }
 
@@ -276,9 +278,8 @@
         // Guards against a spoilt position: the highest told would hold for good. A commit is rounded up.
         end.position = end.position.filter(|at| *at <= now + HOLD);
         let held = self.held.get_mut(&end.rpc);
-        if let Some(call) = held.and_then(|held| held.calls.get_mut(end.call.0 as usize)) {
-            call.outcome = Some(end.outcome);
-        }
+        let call = held.and_then(|held| held.calls.get_mut(end.call.0 as usize));
+        _ = call.map(|call| call.outcome = Some(end.outcome));
         self.learn(now, &end);
         if end.finished {
             self.forget(end.rpc);
@@ -371,10 +372,8 @@
             self.due.remove(&(at, id));
             self.rpc_due(now, id);
         }
-        if self.swept + self.period() <= now {
-            self.sweep(now);
-        }
-        self.release(now);
+        _ = (self.swept + self.period() <= now).then(|| self.sweep(now));
+        _ = (self.released + self.tightest / SWEEPS_PER_BOUND <= now).then(|| self.release(now));
         self.arm(now);
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -514,6 +514,18 @@
     assert_eq!(sent(&mut stage, 4, None, 1), [node(1)]);
 }
 
+#[test]
+fn a_node_that_drained_and_was_forgotten_is_not_sent_to_when_it_is_called_gone_again() {
+    let mut stage = stage(3, 0, &[("rules.only_listed_drains", Value::Flag(true))]);
+    for condition in [Condition::Draining, Condition::Gone, Condition::Gone] {
+        let entry = stage.listed(2, condition);
+        stage.list(Extent::Changes, &[entry]);
+        stage.pass(ms(500));
+    }
+    assert!(stage.books.0.borrow().closed.contains(&node(2)), "forgotten");
+    assert!(!sent(&mut stage, 1, None, 40).contains(&node(2)));
+}
+
 #[test]
 fn what_is_gone_is_forgotten_once_its_call_outs_have_ended() {
     // Where nodes are always new, the old ones must not be walked and kept for ever.
