A probe that says nothing waits ends a rest: nodes are asked, not left alone

A router that sees each primary once in three seconds rests 0.6 s and more after each answer (a part of 0.11 of the limit), whatever the node holds. `free` at fault: only a report of what is held ended a rest, and these nodes report only who waits. Change: where reports come with probes alone, fresh news that nothing waits ends the rest; that RPCs wait stays "no room". Guards as well against rests that a past jam left behind. Could do harm where hundreds ask in the same moment: news is used for half the bound.

The new test fails on the old code.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -841,7 +841,8 @@
     /// This router's part of the free room at a node. A rest stands in for news of what the node holds.
     fn free(&self, now: Duration, member: &Member) -> f64 {
         let told = self.told_load(now, member);
-        let open = member.is_open() && (member.rests_until <= now || told.is_some());
+        let open = member.is_open()
+            && (member.rests_until <= now || (self.probes_only && self.said(now, member).is_some()));
         if open { (member.limit - told.unwrap_or(member.in_flight(now))).max(0.0) } else { 0.0 }
     }
 
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -686,6 +686,26 @@
     }
 }
 
+#[test]
+fn a_probe_that_says_nothing_waits_ends_a_rest_and_one_that_says_otherwise_does_not() {
+    for (queue, sent) in [(0.0, 1), (3.0, 0)] {
+        let change = [("reports.source", Value::Text("probe".into())), ("routers", Value::Number(100.0))];
+        let mut stage = stage(2, 0, &change);
+        stage.took = Some((ms(20), ms(20)));
+        for _ in 0..4 {
+            let write = stage.arrive(4, LONG, None);
+            stage.sent_to(write).iter().for_each(|_| stage.end(write, Outcome::Ok));
+        }
+        // One of a hundred routers: its part of the limit makes it rest between two call-outs.
+        let write = stage.arrive(4, LONG, None);
+        stage.pass(ms(160));
+        assert!(stage.sent_to(write).is_empty() && stage.books.0.borrow().probes.contains(&node(1)));
+        stage.queue = Some(queue);
+        stage.end_probes(|_| true);
+        assert_eq!(stage.sent_to(write).len(), sent, "{queue} wait");
+    }
+}
+
 #[test]
 fn a_part_of_the_reads_is_shed_at_once_while_nodes_hold_more_than_their_limits() {
     for (retry_after, told) in [(false, ms(0)), (true, ms(1000))] {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -184,7 +184,7 @@
     pub primary: NodeId,
     /// How long answers of even and of odd nodes take; 10 ms where it is not said.
     pub took: Option<(Duration, Duration)>,
-    /// How many wait at each node, as answers report it.
+    /// How many wait at each node, as answers and probes report it.
     pub queue: Option<f64>,
     /// How many RPCs each node holds, as probes report it.
     pub holds: Option<f64>,
@@ -443,7 +443,7 @@
                 known.position = position;
                 known.told_position = known.told_position.max(position);
                 let (position, primary) = (Some(position), Some(primary));
-                Report { position, primary, active: self.holds, ..Report::default() }
+                Report { position, primary, active: self.holds, waiting: self.queue }
             });
             let end = if report.is_some() { Outcome::Ok } else { Outcome::TimedOut };
             self.router.probe_ended(now, node, end, report);
