--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -20,7 +20,7 @@
 /// The part of the wait by which routers differ, by their seeds: a fleet that was cut off or started together would
 /// else call together for good.
 const SPREAD: f64 = 0.125;
-/// The longest wait that discovery grants, and the shortest that is asked for.
+/// The longest wait that discovery grants, and the shortest that is asked for, before they are spread.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 const SHORTEST_HOLD: Duration = Duration::from_secs(1);
 /// The next call of a watch comes no later than 200 ms after an answer. If discovery answers at once that
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const SWEEP_PER_NODE: Duration = millis(1); // that work goes through all nodes: its least period for each
 const NO_BOUND: Duration = millis(1000); // the bound where no method sets one: probes then serve health alone
 const PROBES_FAIL: u32 = 3; // in a row and at once, before a node counts as down: a bad link loses some
-const DOUBLINGS: u32 = 7; // of the time until a shut node is probed again, from one sweep on
+const MOST_FAILED: u32 = 7; // of them are counted; from PROBES_FAIL on the time to the next one doubles
 const PROBE_SPEND: f64 = 0.006; // of the result, on probes: each RPC earns some, by their price
 const FIRST_PROBES: f64 = 3.0; // at a node that none of them has heard yet, by all routers together
 const PROBES_SAVED: f64 = 100.0; // RPCs whose probes may be saved up, and are at the start
@@ -263,9 +263,8 @@
         let let_in = 1.0 / self.fullness.powi(SHED).max(1.0);
         let earned = self.probes_earned * if self.fullness > 0.0 { let_in * ASKING } else { 1.0 };
         self.probes = (self.probes + earned).min(self.probes_earned * PROBES_SAVED);
-        let deadline = now + rpc.remaining;
-        let held = Held { rpc, soft, deadline, arrived: now, token, calls: Vec::new(), waits: false };
-        self.held.insert(id, held);
+        let (deadline, calls) = (now + rpc.remaining, Vec::new());
+        self.held.insert(id, Held { rpc, soft, deadline, arrived: now, token, calls, waits: false });
         // Guards against overload that all routers add to before their answers tell: some reads end at once.
         if !is_write && self.chance.random_bool(1.0 - let_in) {
             return self.finish(id, self.longest_retry);
@@ -277,8 +276,7 @@
     pub fn call_ended(&mut self, now: Duration, mut end: CallEnd) {
         // Guards against a spoilt position: the highest told would hold for good. A commit is rounded up.
         end.position = end.position.filter(|at| *at <= now + HOLD);
-        let held = self.held.get_mut(&end.rpc);
-        let call = held.and_then(|held| held.calls.get_mut(end.call.0 as usize));
+        let call = self.held.get_mut(&end.rpc).and_then(|held| held.calls.get_mut(end.call.0 as usize));
         _ = call.map(|call| call.outcome = Some(end.outcome));
         self.learn(now, &end);
         if end.finished {
@@ -312,7 +310,7 @@
             }
         } else {
             // What refused is down, and not short of connections.
-            (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(DOUBLINGS), 0);
+            (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(MOST_FAILED), 0);
             if again { self.probe(node) } else { self.lose_primary(now, group, node) }
         }
         self.note_report(now, node, report.as_ref());
@@ -372,13 +370,16 @@
             self.due.remove(&(at, id));
             self.rpc_due(now, id);
         }
-        _ = (self.swept + self.period() <= now).then(|| self.sweep(now));
-        _ = (self.released + self.tightest / SWEEPS_PER_BOUND <= now).then(|| self.release(now));
+        let (sweep, release) = self.rounds();
+        _ = (sweep <= now).then(|| self.sweep(now));
+        _ = (release <= now).then(|| self.release(now));
         self.arm(now);
     }
 
-    fn period(&self) -> Duration {
-        (self.tightest / SWEEPS_PER_BOUND).max(SWEEP_PER_NODE * self.members.len() as u32)
+    /// When all nodes, and when what waits, are next to be gone through.
+    fn rounds(&self) -> (Duration, Duration) {
+        let least = self.tightest / SWEEPS_PER_BOUND;
+        (self.swept + least.max(SWEEP_PER_NODE * self.members.len() as u32), self.released + least)
     }
 
     /// Rests end, credit and probes are earned without an event: so what waits is gone through now and then.
@@ -397,8 +398,7 @@
 
     /// One timer: for the next of the periodic work and of the due times.
     fn arm(&mut self, now: Duration) {
-        let sweep = self.swept + self.period();
-        let release = self.released + self.tightest / SWEEPS_PER_BOUND;
+        let (sweep, release) = self.rounds();
         let next = if self.held.is_empty() { sweep } else { sweep.min(release) };
         let next = self.due.first().map_or(next, |(at, _)| next.min(*at)).max(now);
         if self.armed.is_none_or(|at| at > next) {
@@ -449,7 +449,7 @@
             keep
         });
         // Nothing is kept of a node that is gone and is not sent to, once all that is out there has ended.
-        let dead = |m: &Member| m.gone && (m.stopped || m.failed_probes == DOUBLINGS);
+        let dead = |m: &Member| m.gone && (m.stopped || m.failed_probes == MOST_FAILED);
         let over = |m: &Member| dead(m) && m.out.is_empty() && !m.probing;
         while let Some((node, member)) = self.members.iter().find(|(_, member)| over(member)) {
             let (node, group) = (*node, member.group);
