Review: one set-up for a pair of nodes in the sockets tests, one way to ask

The five lines that start a primary, a replica, their list, discovery and a router stood ten times, three of them new: `pair_with` and `without_router` serve all, and a part of the configuration that is to be replaced must be there. The new SIGTERM test wrote `try_rpc` again with its own statement: `try_ask`. A flag and a loop with less state. Assertions are as they were.

--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -2,7 +2,6 @@
 
 mod standin;
 
-use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -25,11 +24,30 @@
 
 /// A primary and one replica.
 fn pair() -> (Node, Node, Running, Discovery) {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let (router, discovery) = Running::among(&[(&primary, "primary"), (&replica, "replica")]);
+    pair_with(200, "", "")
+}
+
+/// The first class, with the deadline that all have, and with a short one.
+const LOOK: &str = r#""Name":"look","GiveUpMs":9000.0"#;
+const HASTY_LOOK: &str = r#""Name":"look","GiveUpMs":500.0"#;
+
+/// With so many sockets, and a part of the configuration replaced wherever it stands.
+fn pair_with(sockets: usize, from: &str, to: &str) -> (Node, Node, Running, Discovery) {
+    let (primary, replica, list, discovery) = without_router();
+    let text = configuration(&discovery, &list, sockets);
+    assert!(text.contains(from), "{from}");
+    let router = Running::start(&text.replace(from, to));
     (primary, replica, router, discovery)
 }
 
+/// A primary, a replica, their list, and a discovery that tells it.
+fn without_router() -> (Node, Node, String, Discovery) {
+    let (primary, replica) = (Node::start(true), Node::start(false));
+    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    (primary, replica, list, discovery)
+}
+
 #[test]
 fn a_value_and_a_statement_pass_unchanged_but_for_the_wait() {
     let (primary, replica, router, _) = pair();
@@ -246,20 +264,11 @@
     assert_eq!((router.client().rpc("look", 9000), replica.queries().len()), (ok(), 1));
 }
 
-/// A router whose watch waits a second at the most, among a primary and a replica.
-fn watching(change: (&str, &str)) -> (Node, Node, Discovery, Running) {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let text = configuration(&discovery, &list, 200).replace("20000.0", "1000.0");
-    let router = Running::start(&text.replace(change.0, change.1));
-    (primary, replica, discovery, router)
-}
-
 /// What a watch that has fallen silent missed counts as told 2 s after the end of its wait.
 #[test]
 fn a_watch_that_falls_silent_is_begun_anew_in_time_to_hear_what_it_missed() {
-    let (primary, replica, discovery, router) = watching(("", ""));
+    // It waits a second at the most.
+    let (primary, replica, router, discovery) = pair_with(200, "20000.0", "1000.0");
     discovery.await_calls(2);
     discovery.silent.store(true, Ordering::SeqCst);
     let silent_since = Instant::now();
@@ -274,9 +283,7 @@
 
 #[test]
 fn a_call_for_the_list_that_is_never_answered_is_made_again() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
+    let (_primary, _replica, list, discovery) = without_router();
     discovery.silent.store(true, Ordering::SeqCst);
     let started = Instant::now();
     let router = Running::start(&configuration(&discovery, &list, 200));
@@ -289,8 +296,8 @@
 
 #[test]
 fn a_list_that_comes_unasked_is_watched_from_the_start_and_may_be_indented() {
-    let automatic = (r#""Discovery":"subscribe""#, r#""Discovery":"automatic""#);
-    let (primary, replica, discovery, router) = watching(automatic);
+    let (subscribe, automatic) = (r#""Discovery":"subscribe""#, r#""Discovery":"automatic""#);
+    let (primary, replica, router, discovery) = pair_with(200, subscribe, automatic);
     discovery.await_calls(2);
     let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "terminating")]);
     let tree: serde_json::Value = serde_json::from_str(&list).unwrap();
@@ -302,10 +309,7 @@
 
 #[test]
 fn the_longest_idle_connection_goes_when_descriptors_are_short() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let router = Running::start(&configuration(&discovery, &list, 32));
+    let (_, replica, router, _) = pair_with(32, "", "");
     let mut clients: Vec<Client> = Vec::new();
     for _ in 0..40 {
         let mut client = router.client();
@@ -321,10 +325,7 @@
 /// had not said anything yet, though others had long been idle.
 #[test]
 fn a_new_client_keeps_its_connection_until_it_has_had_time_to_speak() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let router = Running::start(&configuration(&discovery, &list, 32));
+    let (_, _, router, _) = pair_with(32, "", "");
     // Half of 16 sockets are for clients.
     let mut clients: Vec<Client> = (0..8).map(|_| router.client()).collect();
     clients.iter_mut().for_each(|client| assert_eq!(client.rpc("look", 9000), ok()));
@@ -342,10 +343,7 @@
 
 #[test]
 fn what_there_are_no_descriptors_for_is_pushed_back_and_not_left_unread() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let router = Running::start(&configuration(&discovery, &list, 64));
+    let (primary, replica, router, _) = pair_with(64, "", "");
     [&primary, &replica].iter().for_each(|node| node.set(Does::Waits));
     let asks = || Client::asking(router.address, &statement("look", 9000));
     // Half of the 48 sockets are for clients, whose RPCs are held; the others need not wait for them.
@@ -359,11 +357,7 @@
 /// the longest deadline was once all the time that an answer had.
 #[test]
 fn a_client_that_reads_slowly_gets_its_long_answers_whole() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let hasty = configuration(&discovery, &list, 64).replace("9000.0", "400.0");
-    let router = Running::start(&hasty);
+    let (primary, replica, router, _) = pair_with(64, "9000.0", "400.0");
     let mut client = router.client();
     assert_eq!(client.rpc("look", 400), ok());
     [&primary, &replica].iter().for_each(|node| node.set(Does::Fills(1_000_000)));
@@ -381,11 +375,7 @@
 
 #[test]
 fn what_there_is_no_memory_for_is_pushed_back() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let megabyte = configuration(&discovery, &list, 64).replace(r#""memory_mb":192"#, r#""memory_mb":1"#);
-    let router = Running::start(&megabyte);
+    let (_, replica, router, _) = pair_with(64, r#""memory_mb":192"#, r#""memory_mb":1"#);
     replica.set(Does::Waits);
     let long = || format!("{} -- {}", statement("look", 9000), "x".repeat(100_000));
     let mut held: Vec<Client> = (0..2).map(|_| Client::asking(router.address, &long())).collect();
@@ -432,11 +422,7 @@
 
 #[test]
 fn a_router_that_is_told_to_stop_serves_its_clients_on_and_lets_go_of_them_bit_by_bit() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let text = configuration(&discovery, &list, 200).replacen("9000.0", "500.0", 1);
-    let mut router = Running::start(&text);
+    let (_, _, mut router, _) = pair_with(200, LOOK, HASTY_LOOK);
     let mut clients: Vec<Client> = (0..20).map(|_| router.client()).collect();
     assert!(clients.iter_mut().all(|client| client.rpc("look", 500) == ok()));
     router.signal("-TERM");
@@ -451,11 +437,7 @@
 
 #[test]
 fn each_rpc_that_comes_on_an_open_connection_after_the_signal_is_answered_or_was_never_read() {
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let text = configuration(&discovery, &list, 200).replacen("9000.0", "500.0", 1);
-    let mut router = Running::start(&text);
+    let (primary, replica, mut router, _) = pair_with(200, LOOK, HASTY_LOOK);
     let clients: Vec<Client> = (0..40).map(|_| router.client()).collect();
     // All of them send without a pause until their connection ends.
     let load = clients.into_iter().map(|mut client| {
@@ -463,8 +445,7 @@
             let mut answered = 0;
             loop {
                 let text = statement("look", 500);
-                let sent = client.stream.write_all(&quillpoint_router::pg::query(text.as_bytes()));
-                match sent.map_or(Reply::Gone, |()| client.reply()) {
+                match client.try_ask(&text) {
                     Reply::Gone => break (answered, text),
                     _ => answered += 1,
                 }
@@ -582,10 +563,7 @@
 #[test]
 fn who_says_nothing_is_closed_and_goes_first_when_descriptors_are_short() {
     use std::io::Read;
-    let (primary, replica) = (Node::start(true), Node::start(false));
-    let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
-    let discovery = Discovery::start(list.clone());
-    let router = Running::start(&configuration(&discovery, &list, 64));
+    let (_, _, router, _) = pair_with(64, "", "");
     let mut client = router.client();
     assert_eq!(client.rpc("look", 9000), ok());
     let mut silent: Vec<_> = (0..60).map(|_| std::net::TcpStream::connect(router.address).unwrap()).collect();
--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -255,7 +255,7 @@
                 let digits = call.split(name).nth(1)?.split(['&', ' ']).next()?;
                 digits.parse::<u64>().ok()
             };
-            let mut silent = self.silent.load(Ordering::SeqCst);
+            let silent = self.silent.load(Ordering::SeqCst);
             *self.calls.0.lock().unwrap() += 1;
             self.calls.1.notify_all();
             let (from, hold) = (number("from="), number("hold_ms="));
@@ -265,8 +265,7 @@
             let (rev, all) = (list.0, Some(list.0) != from);
             let targets = if all { list.1.clone() } else { "[]".to_string() };
             drop(list);
-            silent |= self.silent.load(Ordering::SeqCst);
-            if silent {
+            if silent || self.silent.load(Ordering::SeqCst) {
                 continue;
             }
             let body = format!(r#"{{"rev":{rev},"all":{all},"targets":{targets}}}"#);
@@ -477,12 +476,16 @@
         }
     }
 
-    /// The same on a connection that may have been closed.
-    pub fn try_rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
-        let sent = self.stream.write_all(&pg::query(statement(class, wait_ms).as_bytes()));
+    /// Asks on a connection that may have been closed.
+    pub fn try_ask(&mut self, text: &str) -> Reply {
+        let sent = self.stream.write_all(&pg::query(text.as_bytes()));
         sent.map_or(Reply::Gone, |()| self.reply())
     }
 
+    pub fn try_rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
+        self.try_ask(&statement(class, wait_ms))
+    }
+
     pub fn rpc(&mut self, class: &str, wait_ms: u64) -> Reply {
         self.ask(&statement(class, wait_ms));
         self.reply()
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -605,13 +605,10 @@
     assert!(next(&stage) <= ms(38), "a read is held, and what it waits for may come without an event");
     let mut stage = Stage::new(120, 1, &[]);
     let mut fired = 0;
-    for _ in 0..100 {
+    while stage.now() < ms(101_000) && fired < 100 {
         let span = next(&stage);
         stage.pass(span);
         fired += 1;
-        if stage.now() >= ms(101_000) {
-            break;
-        }
     }
     assert!(fired <= 10, "120 nodes, 120 ms: {fired} times in a second");
 }
