The list's watch in a package of its own: what discovery has is known within 6 s

Seen by reading (directory.rs, call): one limit, wait + 1 s, covered connect, write and silence alike, so a call on a dead connection used up a wait of up to 10 s; the module doubled the time to the next call up to a quarter of the asking time; unasked lists were asked for again after a fixed second, and a refused call by all routers after the same 0.3 s.

Now crates/watch owns 'resting, calling, waiting to call again', without I/O: limits of their own for connect, head and body, a wait of 2.75 s at most, a backoff with jitter over its whole interval of 0.5 to 1 s. Its head has the sums, checked as it is compiled; a random run before a discovery that refuses, drops, mutes, stalls, breaks off and falls silent checks the 6 s at each millisecond. It was seen to fail with the wait at 9 s, the backoff at 8 s and the head's limit at 9 s.

Discovery's descriptor is kept from the start. A router that no list has come to says it serves after 5 s, and an empty list is one. The module's own asking again after a failure (list_failed) is for the simulator's wire only from now on.

--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -1,31 +1,22 @@
-//! Discovery's one caller: the watch that keeps the module's list up to date.
+//! Discovery's one caller: it carries out the calls that `quillpoint_watch` times, and hands the module what they tell.
 
+use std::cell::RefCell;
+use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use quillpoint::host::{Extent, Listed};
+use quillpoint_watch::{Failed, ListWatch, Part};
 
 use crate::deployment::Deployment;
-use crate::descriptors::{Descriptors, Slot};
-use crate::engine::Engine;
+use crate::descriptors::Slot;
+use crate::engine::{Clock, Engine};
 use crate::list::{Page, Reader};
 
-/// A call may take so much longer than the wait it asks for: then it has fallen silent and is made anew. What it
-/// missed counts as told 2 s after that wait, so as much again is left for the new call to be answered in.
-const SLACK: Duration = Duration::from_millis(1000);
-/// The part of the wait by which routers differ, by their seeds: a fleet that was cut off or started together would
-/// else call together for good.
-const SPREAD: f64 = 0.125;
-/// The longest wait that discovery grants, and the shortest that is asked for, before they are spread.
-const LONGEST_HOLD: Duration = Duration::from_secs(60);
-const SHORTEST_HOLD: Duration = Duration::from_secs(1);
-/// The next call of a watch comes no later than 200 ms after an answer. If discovery answers at once that
-/// there is nothing new, half of that keeps its calls from spinning.
-const PAUSE: Duration = Duration::from_millis(100);
 /// No list of a deployment comes near this.
 const LONGEST_BODY: usize = 4 << 20;
 const LONGEST_HEAD: usize = 16 << 10;
@@ -53,13 +44,20 @@
 /// Discovery's one caller.
 pub struct Directory {
     address: SocketAddr,
-    hold: Duration,
-    /// Whether a watch begins without being asked for, after a failure too.
-    unasked: bool,
     reader: Reader,
     rev: Option<u64>,
-    connection: Option<(Async<TcpStream>, Slot)>,
-    descriptors: Rc<Descriptors>,
+    connection: Option<Async<TcpStream>>,
+    clock: Clock,
+    watch: RefCell<ListWatch>,
+    /// Kept for as long as the router runs, so that no client can have it while discovery is down.
+    _slot: Slot,
+}
+
+/// What comes before a call's end.
+enum Turn {
+    Moved(SocketAddr),
+    Asked,
+    Due,
 }
 
 impl Directory {
@@ -68,92 +66,84 @@
         address: SocketAddr,
         deployment: &Deployment,
         known: &Page,
-        descriptors: Rc<Descriptors>,
+        (slot, clock): (Slot, Clock),
         seed: u64,
     ) -> (Self, Vec<Listed>) {
         let mut reader = Reader::new(deployment);
         let lines = reader.lines(known);
         let rev = (!lines.is_empty()).then_some(known.rev);
-        let hold = deployment.ask_every.clamp(SHORTEST_HOLD, LONGEST_HOLD);
-        let hold = hold.mul_f64(1.0 - SPREAD * (seed % 1024) as f64 / 1024.0);
-        let unasked = deployment.list_comes;
-        (Self { address, hold, unasked, reader, rev, connection: None, descriptors }, lines)
+        let watch = RefCell::new(ListWatch::new(deployment.ask_every, deployment.list_comes, seed));
+        (Self { address, reader, rev, connection: None, clock, watch, _slot: slot }, lines)
     }
 
-    /// Each time the module asks (or at once, where the list is to come unasked), a new watch: first what is new by
-    /// now, then calls that wait for more. The same when discovery has moved, which `moves` tells.
+    /// Calls whenever the watch of the list is due to, until the router ends. `asked` is the module's wish for the
+    /// list, `moves` tells where discovery is from now on.
     pub async fn run(mut self, engine: Rc<Engine>, asked: Receiver<()>, moves: Receiver<SocketAddr>) {
-        let anew = || {
-            let moved = async { moves.recv().await.ok() };
-            let asked = async {
-                _ = asked.recv().await;
+        loop {
+            let hold = self.watch.borrow_mut().begin(self.clock.now());
+            let Some(hold) = hold else {
+                let due = self.watch.borrow().due();
+                match turn(&moves, &asked).or(self.until(due)).await {
+                    Turn::Moved(address) => self.turn_to(address),
+                    Turn::Asked => self.watch.borrow_mut().asked(self.clock.now()),
+                    Turn::Due => {}
+                }
+                continue;
+            };
+            let mut moved = None;
+            let call = async { Some(self.call(hold).await) };
+            // What the module asks meanwhile is answered by the call that is out.
+            let elsewhere = async {
+                moved = moves.recv().await.ok();
                 None
             };
-            moved.or(asked)
-        };
-        loop {
-            self.turn_to(if self.unasked { None } else { anew().await });
-            let mut hold = Duration::ZERO;
-            loop {
-                // One ask is answered by the watch that stands; what asks pile up meanwhile is one more.
-                let called = Instant::now();
-                let call = async { Ok(self.call(hold).await) };
-                match call.or(async { Err(anew().await) }).await {
-                    Ok(Ok((page, lines))) => {
-                        if !lines.is_empty() {
-                            log::info!("list {}: {} entries", page.rev, lines.len());
-                        }
-                        let extent = if page.all { Extent::Whole } else { Extent::Changes };
-                        engine.list_changed(extent, &lines);
-                        if lines.is_empty() && called.elapsed() < hold / 2 {
-                            Timer::after(PAUSE).await;
-                        }
-                        hold = self.hold;
-                    }
-                    // A watch that has fallen silent is begun anew at once; a call that does not wait has failed.
-                    Ok(Err(Failure::Late)) if !hold.is_zero() => {
-                        log::warn!("the watch of the list has fallen silent");
-                        self.turn_to(None);
-                        hold = Duration::ZERO;
-                    }
-                    Ok(Err(failure)) => {
-                        log::warn!("list call failed: {failure}");
-                        self.connection = None;
-                        engine.list_failed();
-                        if self.unasked {
-                            Timer::after(SHORTEST_HOLD).await;
-                        }
-                        break;
+            let ended = call.or(elsewhere).await;
+            if let Some(address) = moved {
+                self.turn_to(address);
+                continue;
+            }
+            match ended {
+                Some(Ok((page, lines))) => {
+                    if !lines.is_empty() {
+                        log::info!("list {}: {} entries", page.rev, lines.len());
                     }
-                    Err(moved) => {
-                        self.turn_to(moved);
-                        hold = Duration::ZERO;
+                    let extent = if page.all { Extent::Whole } else { Extent::Changes };
+                    engine.list_changed(extent, &lines);
+                    self.watch.borrow_mut().answered(self.clock.now(), !lines.is_empty());
+                }
+                Some(Err(failure)) => {
+                    self.connection = None;
+                    match self.watch.borrow_mut().failed(self.clock.now()) {
+                        Failed::Watch => log::warn!("the watch of the list has fallen silent"),
+                        Failed::Call => log::warn!("list call failed: {failure}"),
                     }
                 }
+                // Nobody can tell any more where discovery moves.
+                None => return,
             }
         }
     }
 
-    /// A watch begins on a connection of its own. Elsewhere the versions may be others, so the whole list is
-    /// asked for.
-    fn turn_to(&mut self, moved: Option<SocketAddr>) {
-        self.connection = None;
-        match moved {
-            Some(address) => (self.address, self.rev) = (address, None),
-            None => log::debug!("list asked for anew"),
+    async fn until(&self, due: Option<Duration>) -> Turn {
+        match due {
+            Some(due) => _ = Timer::at(self.clock.instant(due)).await,
+            None => future::pending().await,
         }
+        Turn::Due
+    }
+
+    /// Elsewhere the versions may be others, so the whole list is asked for, on a connection of its own.
+    fn turn_to(&mut self, address: SocketAddr) {
+        (self.connection, self.address, self.rev) = (None, address, None);
+        self.watch.borrow_mut().moved(self.clock.now());
     }
 
     async fn call(&mut self, hold: Duration) -> Result<(Page, Vec<Listed>), Failure> {
-        let late = async {
-            Timer::after(hold + SLACK).await;
-            Err(Failure::Late)
-        };
         let path = match self.rev {
             None => "/catalog/members".to_string(),
             Some(rev) => format!("/catalog/members?from={rev}&hold_ms={}", hold.as_millis()),
         };
-        let page = self.fetch(&path).or(late).await?;
+        let page = self.fetch(&path).await?;
         let lines = self.reader.lines(&page);
         // Guards against taking a list in a form that is not known here for one on which nobody is left.
         if lines.is_empty() && !page.targets.is_empty() {
@@ -163,42 +153,100 @@
         Ok((page, lines))
     }
 
+    /// One part of a call, within the time that it may take.
+    async fn within<T>(
+        &self,
+        part: Part,
+        work: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        self.watch.borrow_mut().reached(self.clock.now(), part);
+        let due = self.watch.borrow().due();
+        let late = async {
+            self.until(due).await;
+            Err(Failure::Late)
+        };
+        work.or(late).await
+    }
+
     async fn fetch(&mut self, path: &str) -> Result<Page, Failure> {
         // A kept connection may have ended since. A call that it did not answer is made anew at once, so that
         // the watch goes on.
-        if let Some((stream, slot)) = self.connection.take() {
-            match self.ask(stream, slot, path).await {
+        if let Some(stream) = self.connection.take() {
+            match self.ask(stream, path).await {
                 Err(Failure::Io(_) | Failure::Ended) => log::debug!("the connection to discovery has ended"),
                 other => return other,
             }
         }
-        let slot = self.descriptors.take().await;
-        let stream = Async::<TcpStream>::connect(self.address).await?;
-        self.ask(stream, slot, path).await
+        let connect = async { Ok(Async::<TcpStream>::connect(self.address).await?) };
+        let stream = self.within(Part::Connect, connect).await?;
+        self.ask(stream, path).await
     }
 
-    async fn ask(&mut self, mut stream: Async<TcpStream>, slot: Slot, path: &str) -> Result<Page, Failure> {
+    async fn ask(&mut self, mut stream: Async<TcpStream>, path: &str) -> Result<Page, Failure> {
         let host = self.address;
         let call = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
-        stream.write_all(call.as_bytes()).await?;
         let mut bytes = Vec::new();
-        let (body, kept) = loop {
-            if let Some(whole) = answer(&bytes, false)? {
-                break whole;
+        let head = async {
+            stream.write_all(call.as_bytes()).await?;
+            while !has_head(&bytes) {
+                if read(&mut stream, &mut bytes).await? == 0 {
+                    return Err(if bytes.is_empty() { Failure::Ended } else { Failure::Length });
+                }
             }
-            let mut piece = [0; 4096];
-            match stream.read(&mut piece).await? {
-                0 if bytes.is_empty() => return Err(Failure::Ended),
-                0 => break answer(&bytes, true)?.ok_or(Failure::Length)?,
-                count => bytes.extend(&piece[..count]),
+            Ok(())
+        };
+        self.within(Part::Head, head).await?;
+        let body = async {
+            let mut ended = false;
+            loop {
+                if let Some(whole) = answer(&bytes, ended)? {
+                    return Ok(whole);
+                }
+                if ended {
+                    return Err(Failure::Length);
+                }
+                ended = read(&mut stream, &mut bytes).await? == 0;
             }
         };
+        let (body, kept) = self.within(Part::Body, body).await?;
         let page = serde_json::from_slice(&body)?;
-        self.connection = kept.then_some((stream, slot));
+        self.connection = kept.then_some(stream);
         Ok(page)
     }
 }
 
+async fn turn(moves: &Receiver<SocketAddr>, asked: &Receiver<()>) -> Turn {
+    let moved = async {
+        match moves.recv().await {
+            Ok(address) => Turn::Moved(address),
+            Err(_) => future::pending().await,
+        }
+    };
+    let asked = async {
+        match asked.recv().await {
+            Ok(()) => Turn::Asked,
+            Err(_) => future::pending().await,
+        }
+    };
+    moved.or(asked).await
+}
+
+/// Reads a piece more. A peer that never stops must not keep the other tasks, nor its own limit, from their turn.
+async fn read(stream: &mut Async<TcpStream>, bytes: &mut Vec<u8>) -> Result<usize, Failure> {
+    let mut piece = [0; 4096];
+    let count = stream.read(&mut piece).await?;
+    bytes.extend(&piece[..count]);
+    future::yield_now().await;
+    Ok(count)
+}
+
+/// Whether the head is whole, or is none and need not be waited for.
+fn has_head(bytes: &[u8]) -> bool {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let status = httparse::Response::new(&mut headers).parse(bytes);
+    bytes.len() > LONGEST_HEAD || !matches!(status, Ok(httparse::Status::Partial))
+}
+
 /// The body of an answer once it is whole, and whether its connection may be used again.
 pub fn answer(bytes: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, Failure> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -339,9 +339,9 @@
         self.router.borrow().nodes().collect()
     }
 
-    /// Whether RPCs can be decided: the list of nodes has come.
+    /// Whether RPCs are taken: the list of nodes has come, or has been waited for long enough.
     pub fn is_ready(&self) -> bool {
-        self.listed.get()
+        self.listed.get() || self.clock.start.elapsed() >= quillpoint_watch::READY
     }
 
     /// How many RPCs are held.
@@ -420,17 +420,14 @@
     }
 
     pub fn list_changed(&self, extent: Extent, lines: &[Listed]) {
-        self.listed.set(self.listed.get() || !lines.is_empty());
+        // An empty list that has come is one; an empty memory of one is none.
+        self.listed.set(self.listed.get() || !lines.is_empty() || extent != Extent::Remembered);
         self.tell(|router, now| router.list_changed(now, extent, lines));
         if let Some(sharing) = self.sharing.get().filter(|_| !lines.is_empty()) {
             sharing.listed();
         }
     }
 
-    pub fn list_failed(&self) {
-        self.tell(|router, now| router.list_failed(now));
-    }
-
     /// The one timer. An earlier wake replaces a later one, after which the module asks anew.
     pub async fn keep_time(&self) {
         loop {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -43,8 +43,13 @@
     let listener_slot = descriptors.take().await;
     let (engine, work) = Engine::new(launch.seed, deployment);
     events::whose(&launch.name, engine.clock.now().as_micros() as u64);
-    let (directory, known) =
-        Directory::new(launch.discovery, deployment, &launch.known, Rc::clone(&descriptors), launch.seed);
+    let (directory, known) = Directory::new(
+        launch.discovery,
+        deployment,
+        &launch.known,
+        (descriptors.take().await, engine.clock),
+        launch.seed,
+    );
     engine.list_changed(Extent::Remembered, &known);
     let peers = match &briefing.part {
         Some(part) => Some(Peers::new(part.clone(), Rc::clone(&engine), launch.seed)?),
