Session reads see writes whose answers were cut off; one look before each byte

What was seen: a probe in a scratch copy logged each end of an attempt. Ruled out by the same log: roles, positions that went back, roaming sessions.

Now a write that may have run counts for its session as committed by its end, and one that is out for over 100 ms as committed 100 ms ago; what a session has written is looked up when the read is sent.

From reading, each a kind of race taken away: still_goes was asked only after a wait for a connection, not when a used one broke, and looked at freshness alone. may_begin now passes the whole gate again right before the first byte, and before more where a write has stalled: RPC owed, window open up to the arrival, node not told to drain, its start known and paid for; the pool adds that the client is there (a poll for its hang-up, which sees an end behind unread bytes). A process that starts anew shows its position again, and an answer that shows itself stale does not pass.

Clients: the leave is looked at before the orders; past 16 KiB read ahead or with memory short it is polled for. CancelRequest ends the RPC of its session (key from the system's randomness). Every close by this side ends the sending first and reads off for 0.5 s at most; lingering gives way when descriptors are short, and not to the drain's own word. The listener is closed once nothing waits in it. An answer of more than 2 MiB ends, and a node that never stops no longer keeps the loop.

--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -160,7 +160,7 @@
             return;
         }
         let mut out = Vec::new();
-        pg::put_welcome(&mut out);
+        pg::put_welcome(&mut out, None);
         if stream.write_all(&out).is_err() {
             return;
         }
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -20,8 +20,9 @@
 use crate::descriptors::{Descriptors, Rank, Side, Slot};
 use crate::engine::{Engine, Order};
 use crate::open_ids::OpenIds;
-use crate::pg::{self, Asked, Broken, Opening};
+use crate::pg::{self, Asked, Broken, CancelKey, Opening};
 use crate::pool::Pool;
+use crate::presence::{Presence, has_hung_up};
 use crate::seldom::Seldom;
 use crate::statement::{Kept, Statement};
 
@@ -34,8 +35,10 @@
 const LONGEST_MESSAGE: Duration = Duration::from_secs(2);
 /// So many statements in a row that cannot be used end a session: it is no client of this service.
 const FAULTS_BORNE: usize = 8;
-/// What still comes from a client that was told of a fault is passed over for so long, and so many bytes of it.
-/// A close at once would be a reset, which can take the word of the fault back.
+/// How often it is looked whether a client that is not read on has hung up.
+const LOOK_FOR_LEAVE: Duration = Duration::from_millis(25);
+/// What still comes from a client after the router's end of sending is passed over for so long, and so many bytes
+/// of it. A close at once would be a reset, which can take an answer that is still on its way with it.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
 /// Bytes a second that a client must read of an answer, in the mean: a slow line does.
@@ -54,6 +57,8 @@
     Left,
     #[error("closed while idle")]
     Closed,
+    #[error("all is said")]
+    Done,
     #[error("a message did not arrive whole in time")]
     Late,
     #[error("{0}")]
@@ -70,7 +75,7 @@
             Self::Late => Some("57014"),
             Self::Exhausted(_) => Some("53200"),
             Self::Faults => Some("08P01"),
-            Self::Io(_) | Self::Left | Self::Closed => None,
+            Self::Io(_) | Self::Left | Self::Closed | Self::Done => None,
         }
     }
 }
@@ -89,6 +94,8 @@
     most_held: usize,
     /// Sessions that are open, and a way to have each closed when it is idle.
     open: RefCell<BTreeMap<u64, Sender<()>>>,
+    /// A way to cancel what a session has under way, by its key.
+    cancels: RefCell<BTreeMap<CancelKey, Sender<()>>>,
     next: Cell<u64>,
     draining: Cell<bool>,
     told: Seldom,
@@ -114,6 +121,7 @@
             longest_deadline: deployment.longest_deadline,
             most_held: deployment.most_held,
             open: RefCell::default(),
+            cancels: RefCell::default(),
             next: Cell::new(0),
             draining: Cell::new(false),
             told: Seldom::default(),
@@ -149,7 +157,7 @@
         }
     }
 
-    /// Takes what has arrived at the listener by now, before it is closed: the kernel has accepted that.
+    /// Takes what has come to the listener while its task was ended.
     pub async fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
         while let Ok((stream, _)) = listener.get_ref().accept() {
             let slot = self.descriptors.take_for_client().await;
@@ -169,18 +177,29 @@
         self.next.set(number + 1);
         let (close, closed) = async_channel::bounded(1);
         self.open.borrow_mut().insert(number, close.clone());
+        // Nobody may guess it, as whoever knows it can end what the session has under way.
+        let key = CancelKey(rand::random());
+        let (cancel, cancelled) = async_channel::bounded(1);
+        self.cancels.borrow_mut().insert(key, cancel);
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
-            let memory = clients.accounts.owner(Purpose::Coming);
-            let (unread, discards, opening) = (Vec::new(), false, Some(Instant::now() + OPENING));
-            let mut session =
-                Session { clients: &clients, stream, unread, memory, close, closed, slot, discards, opening };
-            if let Err(end) = session.run().await {
-                log::debug!("session {number}: {end}");
-                session.part(&end).await;
-            }
-            // Its slot is free once it is no more.
-            drop(session);
+            let session = Session {
+                clients: &clients,
+                stream: Rc::new(stream),
+                unread: Vec::new(),
+                memory: clients.accounts.owner(Purpose::Coming),
+                close,
+                closed,
+                key,
+                cancelled,
+                slot,
+                discards: false,
+                opening: Some(Instant::now() + OPENING),
+            };
+            let end = session.live().await;
+            log::debug!("session {number}: {end}");
+            // Its slot is free by now.
+            clients.cancels.borrow_mut().remove(&key);
             clients.open.borrow_mut().remove(&number);
         };
         self.executor.spawn(task).detach();
@@ -198,6 +217,13 @@
         }
     }
 
+    /// Cancels what the session of this key has under way. One that is not known changes nothing.
+    fn cancel(&self, key: CancelKey) {
+        if let Some(cancel) = self.cancels.borrow().get(&key) {
+            _ = cancel.try_send(());
+        }
+    }
+
     /// From now on each session is closed as soon as it is idle.
     pub fn drain(&self) {
         self.draining.set(true);
@@ -211,11 +237,14 @@
 
 struct Session<'a> {
     clients: &'a Rc<Clients>,
-    stream: Async<TcpStream>,
+    /// Attempts look whether the client is still there.
+    stream: Rc<Async<TcpStream>>,
     unread: Vec<u8>,
     memory: Held,
     close: Sender<()>,
     closed: async_channel::Receiver<()>,
+    key: CancelKey,
+    cancelled: async_channel::Receiver<()>,
     slot: Slot,
     /// After a message of the extended protocol, all is passed over up to Sync.
     discards: bool,
@@ -224,6 +253,16 @@
 }
 
 impl Session<'_> {
+    /// From its first byte to its last. Why it ended.
+    async fn live(mut self) -> End {
+        let end = match self.run().await {
+            Ok(()) => End::Done,
+            Err(end) => end,
+        };
+        self.part(&end).await;
+        end
+    }
+
     async fn run(&mut self) -> Result<(), End> {
         if !self.open().await? {
             return Ok(());
@@ -263,20 +302,31 @@
         }
     }
 
-    /// A client is told why its session ends, if that is its own doing, and given the time to read it.
+    /// The one place that ends a client's connection from this side: the router ends its sending, reads on for a
+    /// while without acting on it, and closes then. The end of the sending is the point of no return: what has
+    /// been read before it is answered, what comes after it is not.
     async fn part(&mut self, end: &End) {
-        let Some(code) = end.code() else { return };
-        let mut out = Vec::new();
-        pg::put_error(&mut out, true, code, &end.to_string(), None);
-        if self.send(&out).await.is_err() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        if matches!(end, End::Left | End::Io(_)) {
+            return;
+        }
+        // A client is told why its session ends, if that is its own doing.
+        if let Some(code) = end.code() {
+            let mut out = Vec::new();
+            pg::put_error(&mut out, true, code, &end.to_string(), None);
+            if self.send(&out).await.is_err() {
+                return;
+            }
+        }
+        if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
         self.unread = Vec::new();
         _ = self.memory.resize(0);
-        let (close, closed) = (self.close.clone(), self.closed.clone());
+        // It gives way at once where descriptors are short, and to nothing else.
+        let (close, closed) = async_channel::bounded::<()>(1);
         let _parked =
             self.clients.descriptors.park(self.slot.side, Rank::Unopened, move || _ = close.try_send(()));
-        let mut stream = &self.stream;
+        let mut stream = &*self.stream;
         let rest = async {
             let (mut piece, mut left) = ([0; PIECE], LINGER_BYTES);
             while let Ok(count) = stream.read(&mut piece).await
@@ -303,7 +353,7 @@
         while !left.is_empty() {
             let hurried = accounts.look(|ledger| ledger.calls_for(Relief::EndSlowest));
             let late = late(began + progress.until(hurried));
-            let mut stream = &self.stream;
+            let mut stream = &*self.stream;
             let written = async { Ok(stream.write(left).await?) };
             let count = written.or(late).await?;
             if count == 0 {
@@ -320,9 +370,12 @@
         loop {
             let mut out = Vec::new();
             match self.next(pg::opening).await? {
-                Opening::Cancel => return Ok(false),
+                Opening::Cancel(key) => {
+                    self.clients.cancel(key);
+                    return Ok(false);
+                }
                 Opening::Encryption => out.push(b'N'),
-                Opening::Startup => pg::put_welcome(&mut out),
+                Opening::Startup => pg::put_welcome(&mut out, Some(self.key)),
             }
             self.send(&out).await?;
             if out.len() > 1 {
@@ -415,12 +468,23 @@
             put_no_room(out, false, "this router holds all the RPCs it may");
             return Ok(true);
         };
-        let statement = Rc::new(Kept { statement, _memory: memory, _open: open });
+        let client = Presence::new(Rc::downgrade(&self.stream));
+        let statement = Rc::new(Kept { statement, client, _memory: memory, _open: open });
+        // What was cancelled before it came is over.
+        while self.cancelled.try_recv().is_ok() {}
+        let cancelled = self.cancelled.clone();
         let (rpc, orders) = engine.rpc_arrived(method, &statement.statement);
         loop {
             let order = async { Ok(orders.recv().await.ok()) };
+            let cancel = async {
+                match cancelled.recv().await {
+                    Ok(()) => Ok(None),
+                    Err(_) => future::pending().await,
+                }
+            };
             let left = async { Err(self.left().await) };
-            match order.or(left).await {
+            // Whether the client is still there is looked at first: an order may have come at the same time.
+            match left.or(cancel).or(order).await {
                 Ok(Some(Order::CallOut(call_out))) => {
                     clients.pool.call_out(Rc::clone(engine), call_out, Rc::clone(&statement));
                 }
@@ -439,9 +503,10 @@
                     pg::put_error(out, false, code, message, None);
                     return Ok(true);
                 }
-                // The engine gives each RPC its final answer; without one nothing is known of it.
+                // The engine gives each RPC its final answer, so that there is none only for one that is cancelled.
                 Ok(None) => {
-                    pg::put_error(out, false, "XX000", "the RPC was dropped", None);
+                    engine.client_left(rpc);
+                    pg::put_error(out, false, "57014", "cancelled by its client; it may have run", None);
                     return Ok(true);
                 }
                 Err(end) => {
@@ -454,17 +519,18 @@
 
     /// Reads on while an RPC is out, so that a client that leaves is noticed at once.
     async fn left(&mut self) -> End {
-        loop {
-            if self.unread.len() >= READ_AHEAD {
-                return future::pending().await;
-            }
+        while self.unread.len() < READ_AHEAD {
             match read(&self.stream, &mut self.unread, &mut self.memory).await {
                 Ok(()) => {}
                 // It is read on once the RPC is answered, if there is room by then.
-                Err(End::Exhausted(_)) => return future::pending().await,
+                Err(End::Exhausted(_)) => break,
                 Err(end) => return end,
             }
         }
+        while !has_hung_up(self.stream.get_ref()) {
+            Timer::after(LOOK_FOR_LEAVE).await;
+        }
+        End::Left
     }
 }
 
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -8,6 +8,7 @@
 
 use crate::client::Clients;
 use crate::engine::Engine;
+use crate::presence::has_waiting;
 
 /// The front sends new connections for up to 0.4 s after SIGTERM; this is that and a margin.
 const STILL_SENT_TO: Duration = Duration::from_millis(500);
@@ -16,7 +17,7 @@
 const KILLED_AFTER: Duration = Duration::from_millis(700);
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 const MARGIN: Duration = Duration::from_millis(400);
-/// How often it is looked whether all is answered.
+/// How often it is looked whether all is answered, and whether connections wait at the listener.
 const LOOK: Duration = Duration::from_millis(5);
 
 /// Goes on serving the clients that it has for as long as it may. In the second half of that time it lets go of
@@ -33,16 +34,23 @@
     let end = told + longest.min(LONGEST_WAIT) + KILLED_AFTER - MARGIN;
     engine.end_by(end);
     Timer::after(STILL_SENT_TO).await;
-    accepting.cancel().await;
-    clients.accept_rest(&listener).await;
-    drop(listener);
+    let mut listening = Some((listener, accepting));
     // An RPC that comes later than the second of these would have too little time left.
     let (start, all_closed) = (told + (end - told) / 2, end - shortest);
     let sessions = clients.sessions();
-    log::info!("no new sessions are taken, {} sessions go on", sessions.len());
     let mut closed = 0;
     // Past the end only sessions are open that have not asked, or do not read.
-    while clients.open_sessions() > 0 && Instant::now() < end + LOOK * 10 {
+    while clients.open_sessions() > 0 && Instant::now() < end + LOOK * 10 || listening.is_some() {
+        // The kernel has accepted what waits at the listener: it is taken in before that is closed. Where
+        // descriptors are short that takes until other sessions have been let go.
+        if let Some((listener, accepting)) =
+            listening.take_if(|(listener, _)| !has_waiting(listener.get_ref()) || Instant::now() >= end)
+        {
+            accepting.cancel().await;
+            clients.accept_rest(&listener).await;
+            drop(listener);
+            log::info!("no new sessions are taken, {} sessions go on", clients.open_sessions());
+        }
         let span = all_closed.saturating_duration_since(start).max(LOOK);
         let part = Instant::now().saturating_duration_since(start).div_duration_f64(span).min(1.0);
         let due = (sessions.len() as f64 * part).ceil() as usize;
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -402,9 +402,10 @@
         }
     }
 
-    /// Whether a call-out that has waited for its connection may still be written.
-    pub fn still_goes(&self, call_out: &CallOut) -> bool {
-        self.router.borrow_mut().still_goes(self.clock.now(), call_out.rpc, call_out.node)
+    /// Whether a call-out may be written, or more of it.
+    pub fn may_begin(&self, call_out: &CallOut) -> bool {
+        let is_owed = self.desk.live.borrow().contains_key(&call_out.rpc);
+        is_owed && self.router.borrow_mut().may_begin(self.clock.now(), call_out.rpc, call_out.call)
     }
 
     pub fn call_ended(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod pg;
 pub mod pool;
+pub mod presence;
 pub mod report;
 pub mod seldom;
 pub mod serve;
--- a/crates/router/src/pg.rs
+++ b/crates/router/src/pg.rs
@@ -52,9 +52,14 @@
     Startup,
     /// A wish for TLS or GSS.
     Encryption,
-    Cancel,
+    /// What the session of this key has under way is to be cancelled.
+    Cancel(CancelKey),
 }
 
+/// What a session is told of itself, for a later connection to cancel what it has under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CancelKey(pub u64);
+
 /// What a client may send within its session.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Asked {
@@ -214,9 +219,10 @@
         return Err(Broken::Length(length));
     }
     let Some(body) = bytes.get(4..length) else { return Ok(None) };
-    let opening = match Body('\0', body).u32()? {
+    let mut body = Body('\0', body);
+    let opening = match body.u32()? {
         version if version & 0xffff_0000 == VERSION_3 => Opening::Startup,
-        CANCEL => Opening::Cancel,
+        CANCEL => Opening::Cancel(CancelKey(u64::from(body.u32()?) << 32 | u64::from(body.u32()?))),
         TLS | GSS => Opening::Encryption,
         other => return Err(Broken::Version(other)),
     };
@@ -359,8 +365,8 @@
     out
 }
 
-/// The answer to a startup: no password, what clients ask of every server, ready.
-pub fn put_welcome(out: &mut Vec<u8>) {
+/// The answer to a startup: no password, what clients ask of every server, the key for cancelling, ready.
+pub fn put_welcome(out: &mut Vec<u8>, key: Option<CancelKey>) {
     put(out, b'R', |out| out.extend([0; 4]));
     for (name, value) in
         [("server_version", "16.0"), ("client_encoding", "UTF8"), ("standard_conforming_strings", "on")]
@@ -370,6 +376,9 @@
             put_text(out, value.as_bytes());
         });
     }
+    if let Some(CancelKey(key)) = key {
+        put(out, b'K', |out| out.extend(key.to_be_bytes()));
+    }
     put_ready(out);
 }
 
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
+use std::io::{self, Write};
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use quillpoint::host::{NodeId, Outcome, Report, Role};
 use quillpoint_accounts::Purpose;
 
@@ -24,6 +24,8 @@
 
 /// How much is read at once.
 const PIECE: usize = 4096;
+/// No answer of one value comes near this, whatever else is told beside it.
+const LONGEST_ANSWER: usize = 2 << 20;
 /// Nodes accept any user; these are the ones that clients name.
 const USER: &str = "portal";
 const DATABASE: &str = "crm";
@@ -43,6 +45,11 @@
     Late,
     #[error("{0}")]
     Exhausted(#[from] Exhausted),
+    /// Its RPC is over, or may not go there any more.
+    #[error("it no longer goes")]
+    Called,
+    #[error("its answer does not end")]
+    Endless,
 }
 
 /// `then`, at that time.
@@ -56,8 +63,11 @@
     stream: Async<TcpStream>,
     unread: Vec<u8>,
     memory: Held,
-    /// Whether the last byte of the query it carries has been written.
+    /// Whether the first byte of the query it carries has been written, and the last.
+    begun: bool,
     written: bool,
+    /// Bytes read since that query.
+    read: usize,
     _slot: Slot,
 }
 
@@ -134,7 +144,7 @@
                     let asked = engine.clock.now();
                     let probe = async move {
                         let until = Instant::now() + pool.connect_time_out;
-                        let (outcome, heard) = pool.exchange(node, until, |_| Some(pg::query(PROBE))).await;
+                        let (outcome, heard) = pool.exchange(node, until, || Some(pg::query(PROBE))).await;
                         // The row is the report, for a probe.
                         let row = heard.answer.and_then(|answer| answer.value);
                         let row = row.and_then(|bytes| String::from_utf8(bytes).ok());
@@ -166,10 +176,10 @@
         let pool = Rc::clone(self);
         let task = async move {
             let until = engine.clock.instant(call_out.until);
-            // Guards against a read that has become too old while its connection was being opened, and
-            // against one whose RPC is over by then.
-            let query = |waited: bool| {
-                let goes = !waited || engine.still_goes(&call_out);
+            // The one place that every attempt passes right before its first byte, and before more of it where
+            // its write has stalled: its RPC is owed an answer, its client is there, and the rules hold as of now.
+            let query = || {
+                let goes = statement.client.is_there() && engine.may_begin(&call_out);
                 let wait = call_out.until.saturating_sub(engine.clock.now());
                 goes.then(|| pg::query(&statement.statement.with_wait(wait)))
             };
@@ -180,13 +190,13 @@
         self.executor.spawn(task).detach();
     }
 
-    /// One query to a node and its outcome. What is asked is settled when there is a connection for it, by
-    /// whether it had to wait. The connection is back in the pool, or closed, before this ends.
+    /// One query to a node and its outcome. Whether it is asked, and in which words, is settled when there is a
+    /// connection for it. The connection is back in the pool, or closed, before this ends.
     async fn exchange(
         self: &Rc<Self>,
         node: NodeId,
         until: Instant,
-        query: impl Fn(bool) -> Option<Vec<u8>>,
+        query: impl Fn() -> Option<Vec<u8>>,
     ) -> (Outcome, Heard) {
         let mut heard = Heard::default();
         loop {
@@ -199,17 +209,20 @@
                     Err(outcome) => return (outcome, heard),
                 },
             };
-            let Some(message) = query(waited) else {
-                self.give_back(node, link);
-                return (Outcome::NotSent, heard);
-            };
-            let asked = async { Some(self.ask(&mut link, message, &mut heard).await) };
+            let asked = async { Some(self.ask(&mut link, &query, &mut heard).await) };
             return match asked.or(at(until, None)).await {
                 Some(Ok(outcome)) => {
                     self.give_back(node, link);
                     (outcome, heard)
                 }
                 Some(Err((Some(outcome), _))) => (outcome, heard),
+                Some(Err((None, Fault::Called))) => {
+                    // Closed where a part of it is on its way: without the rest it never runs.
+                    if !link.begun {
+                        self.give_back(node, link);
+                    }
+                    (Outcome::NotSent, heard)
+                }
                 // A node may close an idle connection at any time. What it has not been sent whole cannot
                 // have run, so a used connection that breaks before that is no failure of the call-out.
                 Some(Err((None, _))) if !waited && !link.written => continue,
@@ -217,7 +230,7 @@
                     log::debug!("{}: {fault}", node.0);
                     let outcome = match (fault, link.written) {
                         (_, false) => Outcome::ConnectFailed,
-                        (Fault::Broken(_) | Fault::Exhausted(_), true) => Outcome::Spoilt,
+                        (Fault::Broken(_) | Fault::Exhausted(_) | Fault::Endless, true) => Outcome::Spoilt,
                         _ => Outcome::Reset,
                     };
                     // What an answer that breaks off has told is not believed.
@@ -252,14 +265,10 @@
     async fn ask(
         &self,
         link: &mut Link,
-        message: Vec<u8>,
+        query: &impl Fn() -> Option<Vec<u8>>,
         heard: &mut Heard,
     ) -> Result<Outcome, (Option<Outcome>, Fault)> {
-        link.written = false;
-        link.stream.write_all(&message).await.map_err(|error| (None, error.into()))?;
-        link.written = true;
-        // It may be long, and the answer long in coming.
-        drop(message);
+        link.write(query).await.map_err(|fault| (None, fault))?;
         let (mut reading, mut outcome) = (pg::Reading::default(), None);
         loop {
             // What comes behind a whole answer can cost the connection, but no longer the answer.
@@ -417,7 +426,8 @@
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
         let memory = accounts.owner(Purpose::Answers);
-        let mut link = Link { stream, unread: Vec::new(), memory, written: false, _slot: slot };
+        let mut link =
+            Link { stream, unread: Vec::new(), memory, begun: false, written: false, read: 0, _slot: slot };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, USER, DATABASE);
         link.stream.write_all(&startup).await?;
@@ -437,6 +447,30 @@
         }
     }
 
+    /// Writes a query while it may go. Looked at right before each write: before the first byte, and again after
+    /// a stall, as its RPC may have ended meanwhile.
+    async fn write(&mut self, query: &impl Fn() -> Option<Vec<u8>>) -> Result<(), Fault> {
+        (self.begun, self.written, self.read) = (false, false, 0);
+        let mut message = query().ok_or(Fault::Called)?;
+        let mut done = 0;
+        while done < message.len() {
+            match self.stream.get_ref().write(&message[done..]) {
+                Ok(0) => return Err(Fault::Ended),
+                Ok(count) => (self.begun, done) = (true, done + count),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.writable().await?;
+                    let anew = query().ok_or(Fault::Called)?;
+                    // Nothing has gone out, so the time that is left is told as of now.
+                    message = if self.begun { message } else { anew };
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+        self.written = true;
+        Ok(())
+    }
+
     async fn told(&mut self) -> Result<Told, Fault> {
         loop {
             if let Some((told, taken)) = pg::told(&self.unread)? {
@@ -451,9 +485,19 @@
             let mut piece = [0; PIECE];
             match self.stream.read(&mut piece).await? {
                 0 => return Err(Fault::Ended),
-                count => self.unread.extend(&piece[..count]),
+                count => {
+                    self.unread.extend(&piece[..count]);
+                    self.read += count;
+                }
             }
             self.memory.resize(self.unread.capacity().saturating_sub(PIECE))?;
+            if self.read > LONGEST_ANSWER {
+                return Err(Fault::Endless);
+            }
+            // A node that never stops must not keep the other tasks, nor the time-out, from their turn.
+            if self.read > PIECE {
+                future::yield_now().await;
+            }
         }
     }
 
--- a/crates/router/src/statement.rs
+++ b/crates/router/src/statement.rs
@@ -10,6 +10,7 @@
 
 use crate::budget::Held;
 use crate::open_ids::OpenId;
+use crate::presence::Presence;
 
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unreadable {
@@ -58,9 +59,10 @@
     pub session: Option<SessionKey>,
 }
 
-/// A statement under way, with what it takes up: memory, and its id.
+/// A statement under way, with whom it is for and what it takes up: memory, and its id.
 pub struct Kept {
     pub statement: Statement,
+    pub client: Presence,
     pub _memory: Held,
     pub _open: OpenId,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of quillpoint. Make a [`Router`] with a host, a seed, the settings and the time, then call
 //! its one method for each thing that happens, `peer_told` too where routers share what they find. It acts by
-//! calling its [`Host`], which asks `still_goes` before a write that has waited for its connection, and
-//! `may_pass` before it gives an ok to a client.
+//! calling its [`Host`], which asks `may_begin` right before an attempt's first byte, and `may_pass` before
+//! it gives an ok to a client.
 //! The design (docs/design.md): a probe-fed record of log positions decides which replicas may answer a read.
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node, or what it says it holds, follows the ratio of the shortest answer
@@ -24,7 +24,7 @@
     CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, PeerWord, Report,
     Role, Rpc, RpcId, SessionKey, ValueMap, ZoneId,
 };
-use crate::state::{Call, Group, Held, Member, Method, Need, Out, Pick, Repeats, Scope};
+use crate::state::{ALL, Call, Group, Held, Member, Method, Need, Out, Pick, Repeats, Scope};
 
 const fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -32,6 +32,7 @@
 
 /// How long a read may wait for the record to name a replica (the design's), and is then too soon to ask.
 pub const HOLD: Duration = millis(50);
+const HEARD: Duration = millis(100); // after a node wrote an answer, it counts as known here (the platform's)
 const PRIMARY_SHARE: f64 = 0.1; // of a group's reads, that may go to its primary (the design's)
 const PRIMARY_SAVED: f64 = 100.0; // so many may be saved up: the share is one of the last thousand reads
 const SWEEPS_PER_BOUND: u32 = 8; // periodic work in the tightest bound: a probe is then late by little
@@ -199,11 +200,8 @@
                 ..Member::default()
             });
             member.gone = entry.condition == Condition::Gone;
-            member.stopped = match entry.condition {
-                Condition::Healthy => false,
-                Condition::Draining => true,
-                Condition::Gone => !gone_stays || member.stopped,
-            };
+            let gone_stops = member.gone && (!gone_stays || member.stopped);
+            member.stopped = entry.condition == Condition::Draining || gone_stops;
             if entry.started > member.started || member.warmth == 0.0 {
                 Self::start(member, &self.methods, &mut self.chance, entry.started);
             }
@@ -220,12 +218,12 @@
         self.arm(now);
     }
 
-    /// A new start: what was known of the old process's health is void, and it owes before it is sent to.
+    /// A new start: what was known of the old process is void, and it owes before it is sent to.
     fn start(member: &mut Member, methods: &[Method], chance: &mut ChaCha8Rng, started: Option<Duration>) {
         let debt = methods.iter().map(|method| method.shortest).fold(0.0, f64::max);
         member.credit = -debt * chance.random_range(0.0..1.0);
         (member.shut, member.missed, member.failed_probes) = (false, 0.0, 0);
-        member.started = member.started.max(started);
+        (member.position, member.told, member.started) = (None, None, member.started.max(started));
     }
 
     /// The notice does not say whether a watch stands; asking anew is always allowed and keeps the duty.
@@ -247,13 +245,7 @@
         let is_first = if marked { !rpc.retried } else { first || votes <= SURE };
         let left = if is_first { method.deadline } else { rpc.remaining };
         let soft = (now + method.soft).saturating_sub(method.deadline.saturating_sub(left));
-        let token = match rpc.session {
-            Some(session) if self.remembers => {
-                let passed = self.groups.get(&group_id).and_then(|group| group.passed);
-                self.tokens.get(&(group_id, session)).copied().or(passed)
-            }
-            _ => rpc.since_write.map(|since| now.saturating_sub(since)),
-        };
+        let token = rpc.since_write.map(|since| now.saturating_sub(since));
         // Of a group that nobody is in nothing is kept: its number may be anything.
         let Some(group) = self.groups.get_mut(&group_id) else {
             return self.host.push_back(id, HOLD.min(self.advised));
@@ -281,7 +273,7 @@
         self.learn(now, &end);
         if end.finished {
             self.forget(end.rpc);
-        } else if self.held.get(&end.rpc).is_some_and(|held| !held.is_out() && !held.waits) {
+        } else if self.held.get(&end.rpc).is_some_and(|held| !held.is_out(ALL) && !held.waits) {
             self.go_on(now, end.rpc);
         }
         self.settle(now, self.members.get(&end.node).map_or_else(GroupId::default, |member| member.group));
@@ -576,18 +568,16 @@
         if let Some(position) = end.position {
             // A commit is rounded up, all else down.
             self.note_position(now, end.node, position.saturating_sub(millis(1)));
-            // Also of a write whose client has left: its session must see it once its ok is here.
-            if let Some(session) =
-                out.filter(|_| end.outcome == Ok && self.remembers).and_then(|out| out.writes)
-            {
-                let token = self.tokens.entry((group, session)).or_default();
-                *token = position.max(*token);
-            }
         }
-        self.note_report(now, end.node, end.report.as_ref());
-        if self.members[&end.node].shut {
-            self.probe(end.node);
+        // Also of a write whose client has left. A commit that no whole answer tells is over by now.
+        let may_have_run = self.remembers && !end.outcome.never_ran();
+        if let Some(session) = out.filter(|_| may_have_run).and_then(|out| out.writes) {
+            let commit = end.position.filter(|_| end.outcome == Ok).unwrap_or(now);
+            let token = self.tokens.entry((group, session)).or_default();
+            *token = commit.max(*token);
         }
+        self.note_report(now, end.node, end.report.as_ref());
+        _ = self.members[&end.node].shut.then(|| self.probe(end.node));
     }
 
     /// A report is old: the position in it is the least age that its word on the role can have.
@@ -647,7 +637,7 @@
     fn go_on(&mut self, now: Duration, id: RpcId) {
         let held = &self.held[&id];
         let never = self.methods[held.rpc.method.0].repeats == Repeats::Never;
-        if held.calls.len() >= self.call_outs || (never && held.may_have_run().next().is_some()) {
+        if held.calls.len() >= self.call_outs || (never && held.may_have_run(ALL).next().is_some()) {
             return self.finish(id, Duration::ZERO);
         }
         // Guards against RPCs that are bad in themselves: errors at two nodes are no node's fault.
@@ -707,12 +697,9 @@
         let Some(held) = self.held.get(&id) else { return };
         let repeats = self.methods[held.rpc.method.0].repeats;
         let harmless = matches!(repeats, Repeats::Always | Repeats::Tokened(Scope::All, _))
-            || held.may_have_run().next().is_none();
+            || held.may_have_run(ALL).next().is_none();
         self.forget(id);
-        match harmless {
-            true => self.host.push_back(id, retry_after.min(self.advised)),
-            false => self.host.abort(id),
-        }
+        if harmless { self.host.push_back(id, retry_after.min(self.advised)) } else { self.host.abort(id) }
     }
 
     fn forget(&mut self, id: RpcId) {
@@ -772,7 +759,7 @@
             passing = true;
             if self.probes_only && (weight == 0.0 || self.asks_first(now, member)) {
                 rested.push(node);
-            } else if weight > 0.0 && self.gate(now, id, node) {
+            } else if weight > 0.0 && self.gate(now, id, node, None) {
                 room.push((proven, node, weight));
             }
         }
@@ -835,7 +822,7 @@
     }
 
     fn may_send(&self, now: Duration, id: RpcId, node: NodeId) -> bool {
-        self.free(now, &self.members[&node]) > 0.0 && self.gate(now, id, node)
+        self.free(now, &self.members[&node]) > 0.0 && self.gate(now, id, node, None)
     }
 
     /// This router's part of the free room at a node. A rest stands in for news of what the node holds.
@@ -894,71 +881,84 @@
         match self.methods[held.rpc.method.0].need {
             Need::Any | Need::Write => Duration::ZERO,
             Need::Fresh => held.arrived,
-            Need::Session => held.token.unwrap_or_default(),
+            Need::Session => held.token.max(self.written(now, &held.rpc)).unwrap_or_default(),
             Need::Bounded(bound) => now.saturating_sub(bound),
         }
     }
 
-    /// The one gate: every call-out passes here, and each of the five rules is kept here.
-    fn gate(&self, now: Duration, id: RpcId, node: NodeId) -> bool {
+    /// What a session has written through here. A write whose answer stays away may be committed, and its
+    /// answer have gone astray.
+    fn written(&self, now: Duration, rpc: &Rpc) -> Option<Duration> {
+        let session = rpc.session.filter(|_| self.remembers);
+        let group = self.groups.get(&rpc.group)?;
+        let mut outs = group.members.iter().flat_map(|node| &self.members[node].out);
+        let astray = outs.any(|out| out.writes == session && out.sent + HEARD <= now);
+        let token = self.tokens.get(&(rpc.group, session?)).copied().or(group.passed);
+        token.max(astray.then(|| now - HEARD))
+    }
+
+    /// The one gate: each of the five rules is kept here. Every attempt passes when it is ordered, and again,
+    /// then with its number, before its first byte.
+    fn gate(&self, now: Duration, id: RpcId, node: NodeId, ordered: Option<usize>) -> bool {
         // Rule 1: only what is held, so not yet answered, and only in time.
         let (Some(held), Some(member)) = (self.held.get(&id), self.members.get(&node)) else { return false };
-        if member.group != held.rpc.group || held.calls.len() >= self.call_outs || now >= self.ends(held) {
+        let number = ordered.unwrap_or(held.calls.len());
+        if member.group != held.rpc.group || number >= self.call_outs || now >= self.ends(held) {
             return false;
         }
-        // Rule 2: what may have run is repeated only as its method allows.
+        // Rule 2: what may have run is repeated only as its method allows, if it will arrive in the window.
         let method = &self.methods[held.rpc.method.0];
         let may_repeat = |call: &Call| match method.repeats {
             Repeats::Always => true,
             Repeats::Tokened(scope, window) => {
-                now < call.sent + window
+                now + Duration::from_secs_f64(method.shortest) < call.sent + window
                     && self.members.get(&call.node).is_some_and(|m| scope.holds(m, member))
             }
             Repeats::Never => false,
         };
-        let repeat = (!held.is_out() || self.values.flag("allowed.second_copies"))
-            && held.may_have_run().all(may_repeat);
+        let repeat = (!held.is_out(number) || self.values.flag("allowed.second_copies"))
+            && held.may_have_run(number).all(may_repeat);
         // Rule 3: nothing to a node once it is told to drain; the grace is for what is out already.
-        // Rule 4: the cold budget. Rule 5: proof of freshness, also when a connection was waited for.
+        // Rule 4: the cold budget, paid once for each start that is known. Rule 5: proof of freshness.
+        let paid = held.calls.get(number).is_some_and(|call| call.started == member.started);
         repeat
             && !member.stopped
-            && self.is_fresh(now, held, node)
-            && (member.warmth >= 1.0 || member.credit >= 0.0)
-    }
-
-    /// Asked again before a write that had to wait for its connection: a bound counts from the send.
-    pub fn still_goes(&mut self, now: Duration, id: RpcId, node: NodeId) -> bool {
-        let needs = self.held.get(&id).and_then(|held| self.on_word(now, held, node));
-        let Some(held) = self.held.get_mut(&id) else { return false };
-        if let Some(call) = held.calls.iter_mut().rfind(|call| call.node == node) {
-            call.needs = needs;
-        }
-        self.is_fresh(now, &self.held[&id], node)
+            && (self.checked || self.is_current(now, held, node))
+            && (paid || member.warmth >= 1.0 || member.credit >= 0.0)
+    }
+
+    /// Asked right before an attempt's first byte, and before more of it where its write has stalled.
+    pub fn may_begin(&mut self, now: Duration, id: RpcId, number: CallNo) -> bool {
+        let number = number.0 as usize;
+        let node = self.held.get(&id).and_then(|held| held.calls.get(number)).map(|call| call.node);
+        let Some(node) = node.filter(|node| self.gate(now, id, *node, Some(number))) else { return false };
+        let needs = self.needs(now, &self.held[&id], node);
+        let Some((held, to)) = self.held.get_mut(&id).zip(self.members.get_mut(&node)) else { return false };
+        let (work, call) = (self.methods[held.rpc.method.0].shortest, &mut held.calls[number]);
+        to.credit -= if call.started == to.started { 0.0 } else { work };
+        (call.needs, call.started) = (needs, to.started);
+        true
     }
 
-    /// Asked before an ok goes to its client: what only peers' word let go must show that it is not stale.
+    /// Asked before an ok goes to its client: not if it shows itself stale, or on peers' word alone.
     pub fn may_pass(&self, now: Duration, id: RpcId, call: CallNo, position: Option<Duration>) -> bool {
-        let call = self.held.get(&id).and_then(|held| held.calls.get(call.0 as usize));
-        let needs = call.and_then(|call| call.needs);
-        needs.is_none_or(|needs| position.is_some_and(|at| (needs..=now + HOLD).contains(&at)))
-    }
-
-    fn is_fresh(&self, now: Duration, held: &Held, node: NodeId) -> bool {
-        self.checked || self.is_current(now, held, node)
+        let needs = self.held.get(&id).and_then(|held| held.calls.get(call.0 as usize)?.needs);
+        let (needs, proven) = needs.unwrap_or((Duration::ZERO, true));
+        position.filter(|at| *at <= now + HOLD).map_or(proven, |at| at >= needs)
     }
 
-    /// The position that the answer itself must show, where only peers' word lets the read go.
-    fn on_word(&self, now: Duration, held: &Held, node: NodeId) -> Option<Duration> {
-        (!self.checked && !self.is_proven(now, held, node)).then(|| self.needed_position(now, held))
+    /// The position that the answer must not fall short of, and whether the node has proven as much before.
+    fn needs(&self, now: Duration, held: &Held, node: NodeId) -> Option<(Duration, bool)> {
+        (!self.checked).then(|| (self.needed_position(now, held), self.is_proven(now, held, node)))
     }
 
     fn send(&mut self, now: Duration, id: RpcId, node: NodeId) {
         self.leave_line(id);
-        if !self.gate(now, id, node) {
+        if !self.gate(now, id, node, None) {
             return self.finish(id, Duration::ZERO);
         }
         let time_out = self.ends(&self.held[&id]).saturating_sub(now).max(millis(1));
-        let needs = self.on_word(now, &self.held[&id], node);
+        let needs = self.needs(now, &self.held[&id], node);
         let Some((held, member)) = self.held.get_mut(&id).zip(self.members.get_mut(&node)) else { return };
         let method = &self.methods[held.rpc.method.0];
         let (call, expected) =
@@ -968,9 +968,9 @@
         // A probe that lets a read go has paid for itself; all others share what RPCs have earned.
         self.probes += f64::from(u8::from(member.probe_ended == now));
         let writes = held.rpc.session.filter(|_| method.need == Need::Write);
-        member.out.push(Out { rpc: id, call, expected, lost_at, writes, time_out });
+        member.out.push(Out { rpc: id, call, sent: now, expected, lost_at, writes, time_out });
         member.credit -= method.shortest;
-        held.calls.push(Call { node, sent: now, outcome: None, needs });
+        held.calls.push(Call { node, sent: now, outcome: None, needs, started: member.started });
         self.due.insert((held.deadline.saturating_sub(self.tick), id));
         let group = self.groups.entry(member.group).or_default();
         if method.need != Need::Write && group.primary.is_some_and(|(primary, _, _)| primary == node) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,14 +130,18 @@
     pub node: NodeId,
     pub sent: Duration,
     pub outcome: Option<Outcome>,
-    /// The position that its answer must show, where only peers' word let it go.
-    pub needs: Option<Duration>,
+    /// The position that its answer must not fall short of, and whether its node had proven that before. None
+    /// where nodes check that themselves.
+    pub needs: Option<(Duration, bool)>,
+    /// The start of its node that was known when it was ordered.
+    pub started: Option<Duration>,
 }
 
 /// A call-out that a node has not answered, the seconds it should take, and from when on it counts as lost.
 pub(crate) struct Out {
     pub rpc: RpcId,
     pub call: CallNo,
+    pub sent: Duration,
     pub expected: f64,
     pub lost_at: Duration,
     /// The session that it writes for. Kept here, as its RPC may be over before its answer comes.
@@ -151,6 +155,9 @@
     }
 }
 
+/// The number of no attempt: none is left out.
+pub(crate) const ALL: usize = usize::MAX;
+
 pub(crate) struct Held {
     pub rpc: Rpc,
     pub soft: Duration,
@@ -162,11 +169,14 @@
 }
 
 impl Held {
-    pub fn may_have_run(&self) -> impl Iterator<Item = &Call> {
-        self.calls.iter().filter(|call| !call.outcome.is_some_and(Outcome::never_ran))
+    /// The attempts that may have run, but for the one of this number.
+    pub fn may_have_run(&self, but: usize) -> impl Iterator<Item = &Call> {
+        let others = self.calls.iter().enumerate().filter(move |(number, _)| *number != but);
+        others.map(|(_, call)| call).filter(|call| !call.outcome.is_some_and(Outcome::never_ran))
     }
-    pub fn is_out(&self) -> bool {
-        self.calls.iter().any(|call| call.outcome.is_none())
+    /// Whether an attempt is under way, but for the one of this number.
+    pub fn is_out(&self, but: usize) -> bool {
+        self.calls.iter().enumerate().any(|(number, call)| number != but && call.outcome.is_none())
     }
     pub fn tried(&self, node: NodeId) -> bool {
         self.calls.iter().any(|call| call.node == node)
