--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -41,6 +41,10 @@
     Says(&'static [u8]),
     /// Answers with a value of so many bytes.
     Fills(usize),
+    /// Answers with the id of the RPC as the value.
+    Echoes,
+    /// Sends these bytes again and again, until the connection ends.
+    Floods(&'static [u8]),
     /// Answers, with these bytes behind ReadyForQuery.
     Adds(&'static [u8]),
     /// Answers, with a load report that cannot be read.
@@ -161,6 +165,8 @@
             }
             // As every replica does with a write.
             let misplaced = text.contains("INSERT") && !state.primary;
+            let id = text.split("id=").nth(1).and_then(|rest| rest.split(',').next());
+            let id = id.unwrap_or_default().as_bytes().to_vec();
             state.queries.push(text);
             state.held += 1;
             self.state.1.notify_all();
@@ -180,6 +186,12 @@
                 Does::Errs(code) => pg::put_error(&mut out, false, code, "as told", None),
                 Does::Says(bytes) => out.extend(bytes),
                 Does::Fills(length) => pg::put_answer(&mut out, &answer(&vec![b'v'; length])),
+                Does::Echoes => pg::put_answer(&mut out, &answer(&id)),
+                Does::Floods(bytes) => {
+                    let many = bytes.repeat(4096 / bytes.len());
+                    while stream.write_all(&many).is_ok() {}
+                    return;
+                }
                 _ => pg::put_answer(&mut out, &answer(VALUE)),
             }
             if does == Does::Halves {
@@ -211,6 +223,8 @@
     calls: Arc<(Mutex<usize>, Condvar)>,
     /// Calls that come meanwhile, and those that wait, are never answered; their connections stay open.
     pub silent: Arc<AtomicBool>,
+    /// Calls that were left without an answer.
+    unanswered: Arc<AtomicUsize>,
 }
 
 /// The list's entries: a node, its role and its state.
@@ -227,10 +241,15 @@
 
 impl Discovery {
     pub fn start(targets: String) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::start_at("127.0.0.1:0".parse().unwrap(), targets)
+    }
+
+    pub fn start_at(address: SocketAddr, targets: String) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let list = Arc::new((Mutex::new((1, targets)), Condvar::new()));
-        let discovery = Self { address, list, calls: Arc::default(), silent: Arc::default() };
+        let (calls, silent, unanswered) = Default::default();
+        let discovery = Self { address, list, calls, silent, unanswered };
         let served = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -266,6 +285,7 @@
             let targets = if all { list.1.clone() } else { "[]".to_string() };
             drop(list);
             if silent || self.silent.load(Ordering::SeqCst) {
+                self.unanswered.fetch_add(1, Ordering::SeqCst);
                 continue;
             }
             let body = format!(r#"{{"rev":{rev},"all":{all},"targets":{targets}}}"#);
@@ -280,6 +300,15 @@
         }
     }
 
+    /// Told of at another address than its own.
+    pub fn told_at(&self, address: SocketAddr) -> Self {
+        Self { address, ..self.clone() }
+    }
+
+    pub fn has_left_unanswered(&self) -> bool {
+        count(&self.unanswered) > 0
+    }
+
     pub fn calls(&self) -> usize {
         *self.calls.0.lock().unwrap()
     }
@@ -430,12 +459,17 @@
     }
 
     fn connect_with(address: SocketAddr, query: &[u8]) -> Self {
-        let stream = TcpStream::connect(address).unwrap();
+        let mut client = Self::on(TcpStream::connect(address).unwrap());
+        client.send(query);
+        client
+    }
+
+    /// On a connection of the test's own making.
+    pub fn on(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(NEVER)).unwrap();
         let mut client = Self { stream, unread: Vec::new() };
         let mut out = Vec::new();
         pg::put_startup(&mut out, "portal", "crm");
-        out.extend(query);
         client.send(&out);
         client
     }
