A dial that comes up late is kept for whoever asks next, and paid for once

pool.rs, lend, dropped a dial at the connect's time limit; the probe and the RPC that followed dialled anew, and a third of the connections of zone+brink come up after it. It now goes on for 3.5 s at most (a lost packet is sent again after one second and after three), and gives way where descriptors are short. The test fails on the text before (one connection of two is left).

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -2,8 +2,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
 use std::io::{self, Write};
 use std::net::TcpStream;
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -24,6 +26,8 @@
 
 /// How much is read at once.
 const PIECE: usize = 4096;
+/// How long past its time a dial may still come up: a lost packet is sent again after one second, and after three.
+const LATE_DIAL: Duration = Duration::from_millis(3500);
 /// No answer of one value comes near this, whatever else is told beside it.
 const LONGEST_ANSWER: usize = 2 << 20;
 /// Nodes accept any user; these are the ones that clients name.
@@ -353,8 +357,9 @@
                 return;
             }
             // It goes on when its call-out has ended: what has been paid for serves the next.
+            let mut dial = pin!(Link::open(node, slot, &pool.accounts));
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
-            match Link::open(node, slot, &pool.accounts).or(late).await {
+            match dial.as_mut().or(late).await {
                 Ok(link) if link.is_quiet() => pool.give_back(node, link),
                 Ok(_) => {
                     // More than a greeting came, so nothing that follows could be told apart from an answer.
@@ -364,6 +369,9 @@
                 Err(fault) => {
                     log::debug!("{}: no connection: {fault}", node.0);
                     pool.hand_out(node, Err(Outcome::ConnectFailed));
+                    if matches!(fault, Fault::Late) {
+                        pool.await_late(node, dial).await;
+                    }
                 }
             }
         };
@@ -371,6 +379,21 @@
         lent.recv().await.unwrap_or(Err(Outcome::NotSent))
     }
 
+    /// A dial whose time is over goes on for a while, for whoever asks next: a packet may have been lost. It gives
+    /// way where descriptors are short.
+    async fn await_late(self: &Rc<Self>, node: NodeId, dial: impl Future<Output = Result<Link, Fault>>) {
+        let (close, closed) = async_channel::bounded::<()>(1);
+        let _parked = self.descriptors.park(Side::Inner, Rank::Unopened, move || _ = close.try_send(()));
+        let gives_way = async {
+            _ = closed.recv().await;
+            Err(Fault::Late)
+        };
+        let late = at(Instant::now() + LATE_DIAL, Err(Fault::Late));
+        if let Ok(link) = dial.or(gives_way).or(late).await {
+            self.give_back(node, link);
+        }
+    }
+
     fn wait(&self, node: NodeId, lender: Sender<Lent>) {
         let mut nodes = self.nodes.borrow_mut();
         let entry = nodes.entry(node).or_default();
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -183,6 +183,28 @@
     assert!(came.len() + rest.len() < long.len(), "it came whole, and ran for nobody");
 }
 
+#[test]
+fn a_dial_that_comes_up_late_fells_no_rpc_and_is_kept() {
+    let node = Node::start(true);
+    let list = targets(&[(&node, "primary", "in_service")]);
+    let discovery = Discovery::start(list.clone());
+    // A connect may take 300 ms.
+    let text = changed(
+        &configuration(&discovery, &list, 200),
+        &[("5000.0,\"MaxAttempts\"", "300.0,\"MaxAttempts\"")],
+    );
+    let router = Running::start(&text);
+    node.greets(Greets::Hangs);
+    let mut client = router.client();
+    client.ask(&statement("enter", 9000));
+    // The first is over its time, as a second one has begun.
+    until(|| count(&node.connections) == 2);
+    node.greets(Greets::Welcomes);
+    assert_eq!(client.reply(), ok());
+    assert!((0..20).all(|_| client.rpc("enter", 9000) == ok()));
+    assert_eq!((count(&node.open), count(&node.connections)), (2, 2), "both have been paid for, and serve");
+}
+
 #[test]
 fn an_answer_on_its_way_is_not_taken_back_by_a_close_over_unread_bytes() {
     let (primary, replica) = (Node::start(true), Node::start(false));
