--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -72,6 +72,8 @@
     written: bool,
     /// Bytes read since that query.
     read: usize,
+    /// When its node last had something of it: a loan that came to nothing does not make it younger.
+    used: Instant,
     _slot: Slot,
 }
 
@@ -438,8 +440,11 @@
             }
         };
         let _parked = self.descriptors.park(Side::Inner, Rank::Idle, close);
-        let idle = Idle { link, since: Instant::now(), place, _parked };
-        self.nodes.borrow_mut().entry(node).or_default().idle.push(idle);
+        let idle = Idle { since: link.used, link, place, _parked };
+        // In the order in which they were used; one that came back unused is older than those that were.
+        let mut nodes = self.nodes.borrow_mut();
+        let all = &mut nodes.entry(node).or_default().idle;
+        all.insert(all.partition_point(|other| other.since <= idle.since), idle);
     }
 }
 
@@ -449,8 +454,16 @@
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
         let memory = accounts.owner(Purpose::Answers);
-        let mut link =
-            Link { stream, unread: Vec::new(), memory, begun: false, written: false, read: 0, _slot: slot };
+        let mut link = Link {
+            stream,
+            unread: Vec::new(),
+            memory,
+            begun: false,
+            written: false,
+            read: 0,
+            used: Instant::now(),
+            _slot: slot,
+        };
         let mut startup = Vec::new();
         pg::put_startup(&mut startup, USER, DATABASE);
         link.stream.write_all(&startup).await?;
@@ -475,6 +488,7 @@
     async fn write(&mut self, query: &impl Fn() -> Option<Vec<u8>>) -> Result<(), Fault> {
         (self.begun, self.written, self.read) = (false, false, 0);
         let mut message = query().ok_or(Fault::Called)?;
+        self.used = Instant::now();
         let mut done = 0;
         while done < message.len() {
             match self.stream.get_ref().write(&message[done..]) {
@@ -510,7 +524,7 @@
                 0 => return Err(Fault::Ended),
                 count => {
                     self.unread.extend(&piece[..count]);
-                    self.read += count;
+                    (self.read, self.used) = (self.read + count, Instant::now());
                 }
             }
             self.memory.resize(self.unread.capacity().saturating_sub(PIECE))?;
