--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -187,7 +187,7 @@
 }
 
 impl Host for Line {
-    fn call_out(&mut self, rpc: RpcId, node: NodeId, time_out: Duration) {
+    fn attempt(&mut self, rpc: RpcId, node: NodeId, time_out: Duration) {
         let (who, RpcId(rpc), NodeId(node), time_out) = (self.who, rpc, node, ms(time_out));
         self.put(format_args!("CALL_OUT Who={who} OpId={rpc:016x} Node={node} TimeoutMs={time_out:.3}"));
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -124,7 +124,7 @@
         self.members.seeds_changed(now, seeds);
     }
 
-    /// This router has found out something about a node, by a probe or a call-out that it sent at `asked`.
+    /// This router has found out something about a node, by a probe or an attempt that it sent at `asked`.
     pub fn found(&mut self, now: Duration, asked: Duration, news: News) {
         let (node, id, failed) = (news.node, self.probe_of(news.node), news.failed);
         if let Some(peer) = self.book.found(now, asked, news) {
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -485,8 +485,8 @@
             let left = async { Err(self.left().await) };
             // Whether the client is still there is looked at first: an order may have come at the same time.
             match left.or(cancel).or(order).await {
-                Ok(Some(Order::CallOut(call_out))) => {
-                    clients.pool.call_out(Rc::clone(engine), call_out, Rc::clone(&statement));
+                Ok(Some(Order::Attempt(attempt))) => {
+                    clients.pool.attempt(Rc::clone(engine), attempt, Rc::clone(&statement));
                 }
                 Ok(Some(Order::Answer(answer))) => {
                     pg::put_answer(out, &answer);
@@ -534,7 +534,7 @@
     }
 }
 
-/// The SQLSTATE of an abort, and its words, by how the last call-out ended.
+/// The SQLSTATE of an abort, and its words, by how the last attempt ended.
 fn cause(last: Option<Outcome>) -> (&'static str, &'static str) {
     match last {
         Some(Outcome::Reset) => ("08006", "the connection to the node broke; it may have run"),
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -44,16 +44,16 @@
 
 /// What an RPC's task is told.
 pub enum Order {
-    CallOut(CallOut),
+    Attempt(Attempt),
     /// Final answers.
     Answer(Answer),
     PushBack(Duration),
-    /// With how its last call-out ended, if one has.
+    /// With how its last attempt ended, if one has.
     Abort(Option<Outcome>),
 }
 
-/// One call-out that is to be made.
-pub struct CallOut {
+/// One attempt that is to be made.
+pub struct Attempt {
     pub rpc: RpcId,
     pub call: CallNo,
     pub node: NodeId,
@@ -106,7 +106,7 @@
 struct Live {
     mailbox: Sender<Order>,
     deadline: Duration,
-    call_outs: u32,
+    attempts: u32,
     last: Option<Outcome>,
 }
 
@@ -114,9 +114,9 @@
 struct Desk {
     clock: Clock,
     live: RefCell<BTreeMap<RpcId, Live>>,
-    most_call_outs: u32,
-    /// Call-outs that can not be made, to be ended as such once the module's call is over.
-    unsent: RefCell<Vec<CallOut>>,
+    most_attempts: u32,
+    /// Attempts that can not be made, to be ended as such once the module's call is over.
+    unsent: RefCell<Vec<Attempt>>,
     chores: Sender<Chore>,
     list: Sender<()>,
     wake_at: Cell<Option<Duration>>,
@@ -141,21 +141,21 @@
 }
 
 impl Host for Hand {
-    fn call_out(&mut self, rpc: RpcId, node: NodeId, time_out: Duration) {
+    fn attempt(&mut self, rpc: RpcId, node: NodeId, time_out: Duration) {
         let at = self.0.clock.now();
         let mut live = self.0.live.borrow_mut();
         let Some(entry) = live.get_mut(&rpc) else {
             // The call's number is unknown here, but so is the RPC to the module by then.
-            let unsent = CallOut { rpc, call: CallNo(u32::MAX), node, at, until: at };
+            let unsent = Attempt { rpc, call: CallNo(u32::MAX), node, at, until: at };
             return self.0.unsent.borrow_mut().push(unsent);
         };
-        let call = CallNo(entry.call_outs);
-        entry.call_outs += 1;
-        let order = CallOut { rpc, call, node, at, until: (at + time_out).min(entry.deadline) };
-        if call.0 >= self.0.most_call_outs {
+        let call = CallNo(entry.attempts);
+        entry.attempts += 1;
+        let order = Attempt { rpc, call, node, at, until: (at + time_out).min(entry.deadline) };
+        if call.0 >= self.0.most_attempts {
             return self.0.unsent.borrow_mut().push(order);
         }
-        _ = entry.mailbox.try_send(Order::CallOut(order));
+        _ = entry.mailbox.try_send(Order::Attempt(order));
     }
     fn push_back(&mut self, rpc: RpcId, retry_after: Duration) {
         self.0.finish(rpc, |_| Order::PushBack(retry_after));
@@ -218,7 +218,7 @@
         let (list, list_in) = async_channel::unbounded();
         let clock = Clock::start();
         let values = deployment.values.clone();
-        let most_call_outs = values.number("allowed.call_outs").unwrap_or(1.0) as u32;
+        let most_attempts = values.number("allowed.attempts").unwrap_or(1.0) as u32;
         let known = |(place, name): (usize, &String)| {
             let need = values.text(&format!("replication.needs.{place}"));
             let deadline = values.span(&format!("methods.{place}.deadline"));
@@ -230,7 +230,7 @@
         let desk = Rc::new(Desk {
             clock,
             live: RefCell::default(),
-            most_call_outs,
+            most_attempts,
             unsent: RefCell::default(),
             chores,
             list,
@@ -253,8 +253,8 @@
         }
     }
 
-    fn end(&self, call_out: CallOut, mut outcome: Outcome, heard: Heard) {
-        let CallOut { rpc, call, node, at, .. } = call_out;
+    fn end(&self, attempt: Attempt, mut outcome: Outcome, heard: Heard) {
+        let Attempt { rpc, call, node, at, .. } = attempt;
         let now = self.clock.now();
         if outcome == Outcome::Ok && !self.router.borrow().may_pass(now, rpc, call, heard.position) {
             log::debug!("{}: an answer that does not show that it is fresh", node.0);
@@ -380,7 +380,7 @@
         let known = &self.methods[method.0];
         let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
         let remaining = statement.wait.min(known.deadline).min(left);
-        let live = Live { mailbox, deadline: now + remaining, call_outs: 0, last: None };
+        let live = Live { mailbox, deadline: now + remaining, attempts: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
@@ -402,14 +402,14 @@
         }
     }
 
-    /// Whether a call-out may be written, or more of it.
-    pub fn may_begin(&self, call_out: &CallOut) -> bool {
-        let is_owed = self.desk.live.borrow().contains_key(&call_out.rpc);
-        is_owed && self.router.borrow_mut().may_begin(self.clock.now(), call_out.rpc, call_out.call)
+    /// Whether an attempt may be written, or more of it.
+    pub fn may_begin(&self, attempt: &Attempt) -> bool {
+        let is_owed = self.desk.live.borrow().contains_key(&attempt.rpc);
+        is_owed && self.router.borrow_mut().may_begin(self.clock.now(), attempt.rpc, attempt.call)
     }
 
-    pub fn call_ended(&self, call_out: CallOut, outcome: Outcome, heard: Heard) {
-        self.end(call_out, outcome, heard);
+    pub fn call_ended(&self, attempt: Attempt, outcome: Outcome, heard: Heard) {
+        self.end(attempt, outcome, heard);
         self.tell(|_, _| ());
     }
 
--- a/crates/router/src/open_ids.rs
+++ b/crates/router/src/open_ids.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Default)]
 pub struct OpenIds(RefCell<BTreeSet<String>>);
 
-/// An id, for as long as its RPC or one of its call-outs is under way.
+/// An id, for as long as its RPC or one of its attempts is under way.
 #[derive(Debug)]
 pub struct OpenId {
     ids: Rc<OpenIds>,
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -19,7 +19,7 @@
 use crate::budget::{Accounts, Exhausted, Held};
 use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Parked, Rank, Side, Slot};
-use crate::engine::{CallOut, Chore, Engine, Heard};
+use crate::engine::{Attempt, Chore, Engine, Heard};
 use crate::pg::{self, Broken, Said, Told};
 use crate::seldom::Seldom;
 use crate::statement::Kept;
@@ -84,14 +84,14 @@
     _parked: Parked,
 }
 
-/// What a call-out that waits for a connection gets.
+/// What an attempt that waits for a connection gets.
 type Lent = Result<Link, Outcome>;
 
 #[derive(Default)]
 struct Node {
     /// The most recently used one last.
     idle: Vec<Idle>,
-    /// Call-outs that wait, the first come first. Each has a connection of its own being opened, but takes
+    /// Attempts that wait, the first come first. Each has a connection of its own being opened, but takes
     /// whichever comes first.
     waiting: VecDeque<Sender<Lent>>,
     /// Whether it was last found out of reach, as the log has it.
@@ -177,21 +177,21 @@
         }
     }
 
-    /// Makes a call-out; its end is told to the engine, whether or not its RPC is over by then.
-    pub fn call_out(self: &Rc<Self>, engine: Rc<Engine>, call_out: CallOut, statement: Rc<Kept>) {
+    /// Makes an attempt; its end is told to the engine, whether or not its RPC is over by then.
+    pub fn attempt(self: &Rc<Self>, engine: Rc<Engine>, attempt: Attempt, statement: Rc<Kept>) {
         let pool = Rc::clone(self);
         let task = async move {
-            let until = engine.clock.instant(call_out.until);
+            let until = engine.clock.instant(attempt.until);
             // The one place that every attempt passes right before its first byte, and before more of it where
             // its write has stalled: its RPC is owed an answer, its client is there, and the rules hold as of now.
             let query = || {
-                let goes = statement.client.is_there() && engine.may_begin(&call_out);
-                let wait = call_out.until.saturating_sub(engine.clock.now());
+                let goes = statement.client.is_there() && engine.may_begin(&attempt);
+                let wait = attempt.until.saturating_sub(engine.clock.now());
                 goes.then(|| pg::query(&statement.statement.with_wait(wait)))
             };
-            let (outcome, heard) = pool.exchange(call_out.node, until, query).await;
-            pool.tell_reach(call_out.node, outcome);
-            engine.call_ended(call_out, outcome, heard);
+            let (outcome, heard) = pool.exchange(attempt.node, until, query).await;
+            pool.tell_reach(attempt.node, outcome);
+            engine.call_ended(attempt, outcome, heard);
         };
         self.executor.spawn(task).detach();
     }
@@ -230,7 +230,7 @@
                     (Outcome::NotSent, heard)
                 }
                 // A node may close an idle connection at any time. What it has not been sent whole cannot
-                // have run, so a used connection that breaks before that is no failure of the call-out.
+                // have run, so a used connection that breaks before that is no failure of the attempt.
                 Some(Err((None, _))) if !waited && !link.written => continue,
                 Some(Err((None, fault))) => {
                     log::debug!("{}: {fault}", node.0);
@@ -347,7 +347,7 @@
         None
     }
 
-    /// A connection for one call-out: its own, or one that is given back earlier.
+    /// A connection for one attempt: its own, or one that is given back earlier.
     async fn lend(self: &Rc<Self>, node: NodeId) -> Lent {
         let (lender, lent) = async_channel::bounded(1);
         self.wait(node, lender);
@@ -358,7 +358,7 @@
             if !pool.is_awaited(node) {
                 return;
             }
-            // It goes on when its call-out has ended: what has been paid for serves the next.
+            // It goes on when its attempt has ended: what has been paid for serves the next.
             let mut dial = pin!(Link::open(node, slot, &pool.accounts));
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
             match dial.as_mut().or(late).await {
--- a/crates/router/tests/shapes.rs
+++ b/crates/router/tests/shapes.rs
@@ -103,7 +103,7 @@
 fn writes(node: &Node) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
     for query in node.queries().into_iter().filter(|query| query.contains("INSERT")) {
-        // The wait differs from call-out to call-out; the id does not.
+        // The wait differs from attempt to attempt; the id does not.
         *counts.entry(query.split(',').next().unwrap().to_string()).or_default() += 1;
     }
     counts
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -143,7 +143,7 @@
 }
 
 #[test]
-fn a_spoilt_answer_is_a_failed_call_out_that_has_run() {
+fn a_spoilt_answer_is_a_failed_attempt_that_has_run() {
     let nodes = [true, false, false].map(Node::start);
     let [primary, spoils, other] = &nodes;
     let (router, _discovery) =
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn a_call_out_outlives_the_client_that_left_and_its_connection_serves_on() {
+fn an_attempt_outlives_the_client_that_left_and_its_connection_serves_on() {
     let (_, replica, router, _discovery) = pair();
     replica.set(Does::Waits);
     let mut leaves = router.client();
@@ -487,7 +487,7 @@
     new.await_calls(2);
     client.ask(&statement("look", 9000));
     second.await_queries(1);
-    // Also while it drains, with a call-out under way.
+    // Also while it drains, with an attempt under way.
     router.signal("-TERM");
     router.await_line("draining");
     old.change(only(first));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -45,7 +45,7 @@
     ("LateFail", "late_abort"),
     ("LateValue", "late_utility"),
     ("MarksRetry", "mark_retries"),
-    ("MaxAttempts", "call_outs"),
+    ("MaxAttempts", "attempts"),
     ("MaxRetryAfterMs", "longest_retry_after"),
     ("MayDuplicate", "second_copies"),
     ("MostHeld", "held"),
--- a/src/host.rs
+++ b/src/host.rs
@@ -26,13 +26,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
-/// Which call-out of its RPC, counted from 0 in the order they were made.
+/// Which attempt of its RPC, counted from 0 in the order they were made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallNo(pub u32);
 
 /// What the module may do. Everything takes effect at once, in the order of the calls.
 pub trait Host {
-    fn call_out(&mut self, rpc: RpcId, node: NodeId, time_out: Duration);
+    fn attempt(&mut self, rpc: RpcId, node: NodeId, time_out: Duration);
     /// Final answer: nothing ran, come back after `retry_after` (zero: no advice).
     fn push_back(&mut self, rpc: RpcId, retry_after: Duration);
     /// Final answer that promises nothing about the effect.
@@ -109,7 +109,7 @@
     Replica,
 }
 
-/// How a call-out ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ok,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 //! Beside it stand these mechanisms:
 //! 1. Limits: what is in flight to a node, or what it says it holds, follows the ratio of the shortest answer
 //!    time to the present one; connections are given back while nodes that are up refuse new ones.
-//! 2. Lines: RPCs wait here by utility and time left; further call-outs in a line of their own, served last.
+//! 2. Lines: RPCs wait here by utility and time left; further attempts in a line of their own, served last.
 //! 3. Health: nodes that fail and zones that answer late lose their share; a silent node gets nothing.
 //! 4. Cold budget: what a node that has just started may be sent, by all routers together.
 //! 5. Giving up: what can no longer be of use, repeats above all, is ended early, and a part of the reads at
@@ -60,7 +60,7 @@
 const SHORTEST_SPAN: Duration = millis(2000); // over which the means are taken of which one is the shortest
 const SHORTEST_FORGETS: f64 = 1.02; // by this factor a span
 const SILENT: f64 = 9.0; // a node is when chance alone would make it so once in about 8,000 (e^9) tries
-const LOST: f64 = 3.5; // present answer times after which a call-out counts as lost; by chance, 1 in 33
+const LOST: f64 = 3.5; // present answer times after which an attempt counts as lost; by chance, 1 in 33
 const ERRORS: usize = 2; // after so many, an RPC itself is taken to be at fault
 const SQUEEZED: Duration = millis(5000); // how long idle connections are given back after a refusal
 const TIME_NEEDED: f64 = 2.0; // an RPC is sent only if so many present answer times are left to it
@@ -68,7 +68,7 @@
 const UNSENT: f64 = 0.45; // of its time, when an RPC that no node was sent is given up: past half is paid for
 const SURE: f64 = 20.0; // so many more tries must have waited alike before another is taken for a repeat
 const CARRIED_OVER: f64 = 2.0; // seconds over which about what a node carries is counted
-const COLD_FLOOR: f64 = 4.0; // all routers' least call-outs to a cold node a span; the part of it saved up
+const COLD_FLOOR: f64 = 4.0; // all routers' least attempts to a cold node a span; the part of it saved up
 const MOST_TOKENS: usize = 10_000; // past it, the newest stands in for all here too
 const PROBE_WORK: f64 = 0.1; // of the heaviest RPC's: what a probe in turn takes of a cold node's credit
 const ASK_AGAIN: Duration = millis(300); // after a failure of the list; then twice as long each time
@@ -85,7 +85,7 @@
     tokens: BTreeMap<(GroupId, SessionKey), Duration>, // commits of the sessions that wrote through here
     tightest: Duration,
     tick: Duration,
-    call_outs: usize,
+    attempts: usize,
     remembers: bool,
     checked: bool,     // the nodes themselves see to it that no read is stale
     probes_only: bool, // reports come with probes alone
@@ -114,7 +114,7 @@
             chance: ChaCha8Rng::seed_from_u64(seed),
             tightest: methods.iter().filter_map(bound).min().unwrap_or(NO_BOUND),
             tick: values.span("tick").unwrap_or(millis(1)),
-            call_outs: values.number("allowed.call_outs").unwrap_or(1.0) as usize,
+            attempts: values.number("allowed.attempts").unwrap_or(1.0) as usize,
             ask_at: (values.text("discovery") == "subscribe").then_some(now),
             ask_every: values.span("rules.ask_every").unwrap_or(millis(10_000)),
             fullness: 0.0,
@@ -463,7 +463,7 @@
     fn probe(&mut self, node: NodeId) {
         let Some(member) = self.members.get_mut(&node) else { return };
         if !self.values.flag("allowed.probes") {
-            // Without probes the next call-out is what tries a silent node.
+            // Without probes the next attempt is what tries a silent node.
             (member.shut, member.missed) = (false, 0.0);
         } else if !member.probing && self.probes >= 1.0 {
             self.probes -= 1.0;
@@ -504,7 +504,7 @@
         let in_time = out.as_ref().is_some_and(|out| end.took < connect.min(out.time_out));
         let refused = end.outcome == ConnectFailed && in_time;
         member.refused = if refused { member.refused + 1 } else { 0 };
-        // Guards against answering a node that is full, or has no connection left, with the next call-out.
+        // Guards against answering a node that is full, or has no connection left, with the next attempt.
         let rests = end.outcome == Full || (refused && now < self.squeezed);
         member.rests_until = if rests { now + HOLD } else { member.rests_until };
         // Guards against hundreds of routers that come again and again: a probe must say that there is room.
@@ -633,11 +633,11 @@
         }
     }
 
-    /// After a call-out that did not finish its RPC: a further one, or the end.
+    /// After an attempt that did not finish its RPC: a further one, or the end.
     fn go_on(&mut self, now: Duration, id: RpcId) {
         let held = &self.held[&id];
         let never = self.methods[held.rpc.method.0].repeats == Repeats::Never;
-        if held.calls.len() >= self.call_outs || (never && held.may_have_run(ALL).next().is_some()) {
+        if held.calls.len() >= self.attempts || (never && held.may_have_run(ALL).next().is_some()) {
             return self.finish(id, Duration::ZERO);
         }
         // Guards against RPCs that are bad in themselves: errors at two nodes are no node's fault.
@@ -707,7 +707,7 @@
         self.held.remove(&id);
     }
 
-    /// Sends what waits: first call-outs first, then the most useful for the work, then the newest.
+    /// Sends what waits: first attempts first, then the most useful for the work, then the newest.
     fn dispatch(&mut self, now: Duration, group: GroupId) {
         for further in [false, true] {
             let mut blocked = BTreeSet::new();
@@ -810,7 +810,7 @@
         let lost = self.groups[&held.rpc.group].lost;
         let next = self.groups[&held.rpc.group].members.iter().copied().find(|node| {
             let answered = self.members[node].role.is_some_and(|(_, at)| at >= lost && lost > Duration::ZERO);
-            !answered && misses * 2 < self.call_outs && !held.tried(*node) && self.may_send(now, id, *node)
+            !answered && misses * 2 < self.attempts && !held.tried(*node) && self.may_send(now, id, *node)
         });
         if let Some(node) = next {
             return Pick::Node(node);
@@ -843,7 +843,7 @@
         Some(self.said(now, member).filter(|_| self.probes_only)?.active? / self.routers)
     }
 
-    /// Which line it waits in: further call-outs in the second.
+    /// Which line it waits in: further attempts in the second.
     fn line(held: &Held) -> (bool, MethodId) {
         (!held.calls.is_empty(), held.rpc.method)
     }
@@ -903,7 +903,7 @@
         // Rule 1: only what is held, so not yet answered, and only in time.
         let (Some(held), Some(member)) = (self.held.get(&id), self.members.get(&node)) else { return false };
         let number = ordered.unwrap_or(held.calls.len());
-        if member.group != held.rpc.group || number >= self.call_outs || now >= self.ends(held) {
+        if member.group != held.rpc.group || number >= self.attempts || now >= self.ends(held) {
             return false;
         }
         // Rule 2: what may have run is repeated only as its method allows, if it will arrive in the window.
@@ -963,7 +963,7 @@
         let method = &self.methods[held.rpc.method.0];
         let (call, expected) =
             (CallNo(held.calls.len() as u32), method.present.max(1e-3) * member.pace.max(1.0));
-        // Guards against a node that loses some call-outs: they would fill its limit until they time out.
+        // Guards against a node that loses some attempts: they would fill its limit until they time out.
         let lost_at = now + Duration::from_secs_f64(LOST * expected);
         // A probe that lets a read go has paid for itself; all others share what RPCs have earned.
         self.probes += f64::from(u8::from(member.probe_ended == now));
@@ -976,6 +976,6 @@
         if method.need != Need::Write && group.primary.is_some_and(|(primary, _, _)| primary == node) {
             group.share -= 1.0;
         }
-        self.host.call_out(id, node, time_out);
+        self.host.attempt(id, node, time_out);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -137,7 +137,7 @@
     pub started: Option<Duration>,
 }
 
-/// A call-out that a node has not answered, the seconds it should take, and from when on it counts as lost.
+/// An attempt that a node has not answered, the seconds it should take, and from when on it counts as lost.
 pub(crate) struct Out {
     pub rpc: RpcId,
     pub call: CallNo,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -224,7 +224,7 @@
 #[test]
 fn a_silent_node_gets_nothing_more() {
     let mut stage = stage(3, 0, &[]);
-    // Many call-outs to the primary, and no word from it: writes must stop before all are lost there.
+    // Many attempts to the primary, and no word from it: writes must stop before all are lost there.
     let writes: Vec<RpcId> = (0..6).map(|_| stage.arrive(4, LONG, None)).collect();
     assert!(writes.iter().all(|id| stage.sent_to(*id) == [node(1)]));
     stage.pass(ms(400));
@@ -263,7 +263,7 @@
 }
 
 #[test]
-fn lost_call_outs_do_not_fill_the_limit() {
+fn lost_attempts_do_not_fill_the_limit() {
     // A primary that loses some writes and answers the rest must still get the rest.
     let mut stage = stage(2, 0, &[("routers", Value::Number(5.0))]);
     for _ in 0..30 {
@@ -547,7 +547,7 @@
 
 #[test]
 fn a_router_of_many_does_not_rest_where_nothing_waits() {
-    // The part of a limit that one of 300 routers has is far below one call-out; one with several times the mean of
+    // The part of a limit that one of 300 routers has is far below one attempt; one with several times the mean of
     // the RPCs would be held back by it before a node that is idle.
     let out = |queue| {
         let mut stage = stage(2, 0, &[("routers", Value::Number(300.0))]);
@@ -586,7 +586,7 @@
 }
 
 #[test]
-fn what_is_gone_is_forgotten_once_its_call_outs_have_ended() {
+fn what_is_gone_is_forgotten_once_its_attempts_have_ended() {
     // Where nodes are always new, the old ones must not be walked and kept for ever.
     let mut stage = stage(3, 0, &[]);
     stage.pass(ms(10));
@@ -596,7 +596,7 @@
     let gone = [1, number].map(|number| stage.listed(number, Condition::Gone));
     stage.list(Extent::Changes, &gone);
     stage.pass(ms(100));
-    assert_eq!(stage.books.0.borrow().closed, [node(1)], "the other has a call-out out");
+    assert_eq!(stage.books.0.borrow().closed, [node(1)], "the other has an attempt out");
     stage.end(read, Outcome::Ok);
     stage.pass(ms(100));
     assert_eq!(stage.books.0.borrow().closed, [node(1), at]);
@@ -806,7 +806,7 @@
             let write = stage.arrive(4, LONG, None);
             stage.sent_to(write).iter().for_each(|_| stage.end(write, Outcome::Ok));
         }
-        // One of a hundred routers: its part of the limit makes it rest between two call-outs.
+        // One of a hundred routers: its part of the limit makes it rest between two attempts.
         let write = stage.arrive(4, LONG, None);
         stage.pass(ms(160));
         assert!(stage.sent_to(write).is_empty() && stage.books.0.borrow().probes.contains(&node(1)));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -79,9 +79,9 @@
         assert!(seen.answer.is_none(), "rule 1: sent after the final answer");
         assert!(self.now < seen.arrived + seen.rpc.remaining, "rule 1: sent after the client's time");
         assert_eq!(listed.group, seen.rpc.group, "sent to another group");
-        assert!(seen.calls.len() < self.values.number("allowed.call_outs").unwrap() as usize);
+        assert!(seen.calls.len() < self.values.number("allowed.attempts").unwrap() as usize);
         let out = seen.calls.iter().any(|call| call.outcome.is_none());
-        assert!(!out || self.values.flag("allowed.second_copies"), "two call-outs at once");
+        assert!(!out || self.values.flag("allowed.second_copies"), "two attempts at once");
         for call in seen.calls.iter().filter(|call| !call.outcome.is_some_and(Outcome::never_ran)) {
             let earlier = &self.list[&call.node];
             let window = self.values.span(&format!("methods.{method}.repeat_window")).unwrap();
@@ -144,7 +144,7 @@
 pub struct Books(pub Rc<RefCell<World>>);
 
 impl Host for Books {
-    fn call_out(&mut self, rpc: RpcId, node: NodeId, _: Duration) {
+    fn attempt(&mut self, rpc: RpcId, node: NodeId, _: Duration) {
         let mut world = self.0.borrow_mut();
         let needed = world.check_send(rpc, node);
         let now = world.now;
@@ -206,7 +206,7 @@
         put(&format!("methods.{place}.repeat_window"), Value::Span(ms(400)));
     }
     put("replication.read_check", text("none"));
-    let numbers = [("methods.4.late_utility", 0.5), ("allowed.call_outs", 6.0), ("rules.cold_from", 0.25)];
+    let numbers = [("methods.4.late_utility", 0.5), ("allowed.attempts", 6.0), ("rules.cold_from", 0.25)];
     numbers.into_iter().for_each(|(name, number)| put(name, Value::Number(number)));
     put("rules.fall_multiple", Value::Number(3.0));
     let rules = [("drain_grace", 100), ("cold_time", 10_000), ("overload_time", 1000), ("ask_every", 8000)];
@@ -313,7 +313,7 @@
         self.books.0.borrow().rpcs[&id].answer
     }
 
-    /// Ends the newest open call-out of the RPC.
+    /// Ends the newest open attempt of the RPC.
     pub fn end(&mut self, id: RpcId, mut outcome: Outcome) {
         let now = self.now();
         let answered = outcome == Outcome::Ok;
@@ -321,7 +321,7 @@
         let mut world = self.books.0.borrow_mut();
         let stamps = !matches!(world.values.0.get("replication.stamps"), Some(Value::Flag(false)));
         let seen = world.rpcs.get_mut(&id).unwrap();
-        let place = seen.calls.iter().rposition(|call| call.outcome.is_none()).expect("a call-out is out");
+        let place = seen.calls.iter().rposition(|call| call.outcome.is_none()).expect("an attempt is out");
         let call = &mut seen.calls[place];
         call.outcome = Some(outcome);
         // The same answer time for all: a send then counts as one unit of work, as the books count it.
@@ -359,7 +359,7 @@
         self.router.call_ended(now, end);
     }
 
-    /// The client no longer waits; its call-outs run on.
+    /// The client no longer waits; its attempts run on.
     pub fn leave(&mut self, id: RpcId) {
         self.books.0.borrow_mut().rpcs.get_mut(&id).unwrap().answer = Some("left");
         self.router.client_left(id);
@@ -369,7 +369,7 @@
     fn shown(&self, id: RpcId, outcome: Outcome) -> Outcome {
         let world = self.books.0.borrow();
         let seen = &world.rpcs[&id];
-        let place = seen.calls.iter().rposition(|call| call.outcome.is_none()).expect("a call-out is out");
+        let place = seen.calls.iter().rposition(|call| call.outcome.is_none()).expect("an attempt is out");
         let call = &seen.calls[place];
         if outcome != Outcome::Ok || seen.answer.is_some() {
             return outcome;
