The fleet's cold test asks again for more sends than routers, as it did for a hundred

When the test was made to serve 20, 30 and 300 routers, its last assertion went from over 100 sends for 100 routers to over half as many: a loosening that nobody needed.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -110,5 +110,5 @@
         let most = budget + f64::min(5.0, 2.0 * budget.sqrt() + 2.0);
         assert!(sent <= most, "{sent} of {most} in the second from {start}, {routers} routers");
     }
-    assert!(sends.len() > routers / 2, "nor is it shut out: {}", sends.len());
+    assert!(sends.len() > routers, "nor is it shut out: {}", sends.len());
 }
