Interfaces of the size that is coming: the feed's messages, the scale run's record

Agreed before the parts are built: what control instances and routers say to each other (crates/feed), what either side asks of its host, and the fields of a record of measure/scale. Nothing uses them yet.

--- /dev/null
+++ b/crates/feed/src/message.rs
@@ -0,0 +1,129 @@
+//! What a control instance and a router say to each other. The bytes are another package's matter.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillpoint_fleet::{Incarnation, PeerName};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Into so many parts the databases are divided. A copy is asked for, sent and checked part by part.
+pub const PARTS: usize = 64;
+/// Watermarks are told for so many classes of lag: each reaches twice as far behind as the one before.
+pub const CLASSES: usize = 8;
+/// So many changes travel with a digest, and so many entries in one chunk of a copy: either stays within a datagram.
+pub const CHANGES_ALONG: usize = 20;
+pub const ENTRIES_ALONG: usize = 36;
+
+/// A part of the databases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartId(pub u8);
+
+impl PartId {
+    /// Which part a database belongs to: by its address alone, so that all processes agree.
+    pub fn of(node: SocketAddr) -> Self {
+        Self((xxh3_64(node.to_string().as_bytes()) % PARTS as u64) as u8)
+    }
+}
+
+/// The state of a part's copy at one start of one publisher. Grows by one with each change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Revision(pub u32);
+
+/// Number of a digest, of one start of one publisher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DigestNo(pub u32);
+
+/// Place of a class of lag.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LagClass(pub u8);
+
+/// How a database stands. All but the first is an exception.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is seen as often as it should be, and was no further behind than its class of lag says. The class of a
+    /// database in step is the first.
+    Seen(LagClass),
+    /// It answers, but tells no position, or was last seen too long ago.
+    Unseen,
+    /// Several control instances have failed to reach it, each by itself.
+    Down,
+}
+
+/// What is told of a database by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    pub node: SocketAddr,
+    pub primary: Option<bool>,
+    /// When it started, on the deployment's clock, as far as that matters still: a database that has long been warm
+    /// needs none.
+    pub started: Option<Duration>,
+    pub standing: Standing,
+}
+
+/// One step of a part's copy: the entry as it stands from that revision on, or that the database is no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Change {
+    pub revision: Revision,
+    pub node: SocketAddr,
+    /// `None`: the database has left the list.
+    pub entry: Option<(Option<bool>, Option<Duration>, Standing)>,
+}
+
+/// One short word for all.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    pub number: DigestNo,
+    /// When it was sent, on the publisher's own clock, which only goes forward. The receiver tells by it how late a
+    /// digest is beside the others of that publisher, so that lateness passes for age and not for freshness.
+    pub sent: Duration,
+    /// How long before the sending each database that stands as `Seen` had been seen last, at the most.
+    pub age: Duration,
+    /// For each class of lag: a log position, on the deployment's clock, that each database of the class had shown
+    /// then. `None` where no database is of the class.
+    pub watermarks: [Option<Duration>; CLASSES],
+    /// The revision of each part that this digest speaks for. It says nothing to whoever has another one.
+    pub revisions: Vec<Revision>,
+    /// The latest changes, each told in several digests.
+    pub changes: Vec<Change>,
+    /// How often each database is probed by all control instances together, and about how many routers there are:
+    /// what a router needs to know to pace its own probing while no control instance speaks.
+    pub period: Duration,
+    pub routers: u32,
+}
+
+/// A part of a part's copy. A copy is taken over when all its chunks have come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    pub part: PartId,
+    pub revision: Revision,
+    /// Place among the chunks of this copy, and how many they are.
+    pub place: u16,
+    pub of: u16,
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// From a router: send me digests from now on, for a while. Said again and again; it does no more than ask, and is
+    /// all that may be said before the other's start is known.
+    Subscribe,
+    /// From a router: I need no more digests.
+    Unsubscribe,
+    /// From a router: send me copies of these parts.
+    Pull(Vec<PartId>),
+    Digest(Digest),
+    Chunk(Chunk),
+    /// From a control instance: there is no room here for one more subscriber.
+    Full,
+    /// From a control instance: it ends.
+    Leaving,
+}
+
+/// A message with whom it is from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    pub from: PeerName,
+    pub start: Incarnation,
+    pub message: Message,
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod listing;
 pub mod load;
+pub mod record;
 pub mod relay;
 pub mod routers;
 pub mod store;
