The control side of a router in a package of its own, quillpoint-control

So peers.rs moves to crates/control behind the small trait Around, which the router's engine gives; the engine's findings reach it as before. The counts are readable, count all bytes read, and are told at SIGHUP too. Nothing that is decided, sent or logged changes otherwise.

--- /dev/null
+++ b/crates/control/src/around.rs
@@ -0,0 +1,21 @@
+//! What a control side needs of the process that it stands in.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A router's engine, or a hollow router's books.
+pub trait Around {
+    /// Unix time at the start, plus what a monotonic clock has counted since.
+    fn now(&self) -> Duration;
+    /// The databases on the list, with the places of their zones.
+    fn nodes(&self) -> BTreeMap<SocketAddr, u16>;
+    /// What another router has found out: hearsay.
+    fn hear(&self, evidence: quillpoint_fleet::Evidence);
+    /// What a control instance tells by name: hearsay.
+    fn learnt(&self, word: quillpoint_feed::Word);
+    /// A probe in turn, whose end is told by `found`, once this call is over. False if one is out there already.
+    fn probe(&self, node: SocketAddr) -> bool;
+    /// Whether only an own probe tells this router anything of the node.
+    fn is_shut(&self, node: SocketAddr) -> bool;
+}
--- /dev/null
+++ b/crates/control/src/part.rs
@@ -0,0 +1,20 @@
+//! A router's part in its fleet: addresses, keys, plans.
+
+use std::net::SocketAddr;
+
+use quillpoint_datagram::keys::Keyring;
+use quillpoint_fleet::{PeerName, Plans};
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    pub name: PeerName,
+    pub listen: SocketAddr,
+    pub advertise: SocketAddr,
+    pub zone: u16,
+    pub weight: u8,
+    pub keys: Keyring,
+    pub seeds: Vec<SocketAddr>,
+    pub plans: Plans,
+    /// Datagrams looked at a second.
+    pub letters: u64,
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,337 @@
+//! The fleet on sockets: its one owner, its datagrams and its clock. Decides nothing: `quillpoint-fleet` does.
+//!
+//! The fleet acts by calling its host, [`Desk`], which only notes what is to be done; it is done when the call is
+//! over. So nothing calls the fleet from inside one of its own calls.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use quillpoint_datagram::keys::Keyring;
+use quillpoint_datagram::{LONGEST, Opener, Refusal, Sealer};
+use quillpoint_fleet::ids::{DutyId, Subject};
+use quillpoint_fleet::{Card, Event, Evidence, Fleet, Host, Incarnation, Letter, Life, News, State};
+
+use crate::around::Around;
+use crate::part::Part;
+use crate::seldom::Seldom;
+
+/// So many datagrams are read before others have their turn.
+const AT_ONCE: u32 = 32;
+/// A pause when more come than are looked at, and after a failed read.
+const PAUSE: Duration = Duration::from_millis(10);
+/// How often the counts are logged.
+const COUNTS_EVERY: Duration = Duration::from_secs(60);
+
+/// What the fleet has asked for during a call.
+enum Wish {
+    Send { to: SocketAddr, session: Option<Incarnation>, letter: Letter },
+    Perform(DutyId),
+    Hear(Evidence),
+    Tell(Event),
+}
+
+#[derive(Default)]
+struct Desk {
+    wishes: RefCell<Vec<Wish>>,
+    wake: Cell<Option<Duration>>,
+}
+
+struct Hand(Rc<Desk>);
+
+impl Host for Hand {
+    fn send(&mut self, to: SocketAddr, session: Option<Incarnation>, letter: Letter) {
+        self.0.wishes.borrow_mut().push(Wish::Send { to, session, letter });
+    }
+    fn wake(&mut self, after: Duration) {
+        self.0.wake.set(Some(after));
+    }
+    fn perform(&mut self, duty: DutyId) {
+        self.0.wishes.borrow_mut().push(Wish::Perform(duty));
+    }
+    fn hear(&mut self, evidence: Evidence) {
+        self.0.wishes.borrow_mut().push(Wish::Hear(evidence));
+    }
+    fn tell(&mut self, event: Event) {
+        self.0.wishes.borrow_mut().push(Wish::Tell(event));
+    }
+}
+
+/// What has passed since the start.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Datagrams sent, and their bytes without the heads of UDP and IP.
+    pub sent: u64,
+    pub sent_bytes: u64,
+    /// Datagrams that were taken for letters.
+    pub taken: u64,
+    /// The bytes of all that was read, taken or not.
+    pub read_bytes: u64,
+    /// Probes that were made as a duty or claimed, and those that another router's word made needless.
+    pub probes: u64,
+    pub spared: u64,
+    pub refused: BTreeMap<Refusal, u64>,
+}
+
+pub struct Peers {
+    around: Rc<dyn Around>,
+    fleet: RefCell<Fleet<Hand>>,
+    desk: Rc<Desk>,
+    socket: Async<UdpSocket>,
+    keys: RefCell<Keyring>,
+    sealer: RefCell<Sealer>,
+    opener: RefCell<Opener>,
+    letters: u64,
+    counts: RefCell<Counts>,
+    told_refused: Seldom,
+    told_unsent: Seldom,
+}
+
+impl Peers {
+    /// Opens the socket and makes the router a member.
+    ///
+    /// # Errors
+    /// The address cannot be had.
+    pub fn new(part: Part, around: Rc<dyn Around>, seed: u64) -> io::Result<Rc<Self>> {
+        let socket = Async::<UdpSocket>::bind(part.listen)?;
+        let (now, desk) = (around.now(), Rc::new(Desk::default()));
+        let start = Incarnation(now.as_micros() as u64);
+        let life = Life { incarnation: start, version: 0 };
+        let Part { name, advertise: address, zone, weight, .. } = part;
+        let me = Card { name, life, address, zone, weight, state: State::Joining };
+        // A port that the system chooses is known only now.
+        let me =
+            if address.port() == 0 { Card { address: socket.get_ref().local_addr()?, ..me } } else { me };
+        let fleet = Fleet::new(Hand(Rc::clone(&desk)), me, part.seeds, part.plans, seed, now);
+        Ok(Rc::new(Self {
+            around,
+            fleet: RefCell::new(fleet),
+            desk,
+            socket,
+            keys: RefCell::new(part.keys),
+            sealer: RefCell::default(),
+            opener: RefCell::default(),
+            letters: part.letters,
+            counts: RefCell::default(),
+            told_refused: Seldom::default(),
+            told_unsent: Seldom::default(),
+        }))
+    }
+
+    /// The one way to the fleet. What it asks for is done when the call is over.
+    fn call<T>(&self, what: impl FnOnce(&mut Fleet<Hand>, Duration) -> T) -> T {
+        let told = what(&mut self.fleet.borrow_mut(), self.around.now());
+        loop {
+            let wishes = std::mem::take(&mut *self.desk.wishes.borrow_mut());
+            if wishes.is_empty() {
+                return told;
+            }
+            wishes.into_iter().for_each(|wish| self.fulfil(wish));
+        }
+    }
+
+    fn fulfil(&self, wish: Wish) {
+        match wish {
+            Wish::Send { to, session, letter } => self.send(to, session, &letter),
+            Wish::Perform(duty) => self.perform(duty),
+            Wish::Hear(evidence) => self.around.hear(evidence),
+            Wish::Tell(event) => tell(&event),
+        }
+    }
+
+    fn perform(&self, duty: DutyId) {
+        self.counts.borrow_mut().probes += 1;
+        let goes = match duty.subject {
+            Subject::Node(node) => self.around.probe(node),
+            Subject::Installation => false,
+        };
+        if !goes {
+            // One is out there by now, whose end serves as well.
+            self.fleet.borrow_mut().duty_ended(self.around.now(), duty);
+        }
+    }
+
+    /// A datagram that cannot be sent at once is lost: all that is said is said again.
+    fn send(&self, to: SocketAddr, session: Option<Incarnation>, letter: &Letter) {
+        let sealed = self.sealer.borrow_mut().seal(&self.keys.borrow(), session, letter);
+        let sent = match &sealed {
+            Ok(bytes) => self.socket.get_ref().send_to(bytes, to).map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match sent {
+            Ok(bytes) => {
+                let mut counts = self.counts.borrow_mut();
+                counts.sent += 1;
+                counts.sent_bytes += bytes as u64;
+            }
+            Err(error) if self.told_unsent.is_due() => {
+                log::warn!(event = "fleet_unsent", to:% = to, error; "a letter could not be sent");
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Takes letters as long as the process runs. A flood of datagrams gets no more than its share of the thread.
+    pub async fn listen(self: Rc<Self>) {
+        let mut bytes = [0; LONGEST + 1];
+        let (mut since, mut looked_at, mut in_a_row) = (Instant::now(), 0, 0);
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, _)) => self.arrived(&bytes[..length]),
+                Err(error) => {
+                    log::debug!("datagrams: {error}");
+                    Timer::after(PAUSE).await;
+                }
+            }
+            (looked_at, in_a_row) = (looked_at + 1, in_a_row + 1);
+            if in_a_row >= AT_ONCE {
+                in_a_row = 0;
+                future::yield_now().await;
+            }
+            if since.elapsed() >= PAUSE {
+                (since, looked_at) = (Instant::now(), 0);
+            } else if looked_at as f64 > (self.letters as f64 * PAUSE.as_secs_f64()).max(1.0) {
+                Timer::after(PAUSE).await;
+                (since, looked_at) = (Instant::now(), 0);
+            }
+        }
+    }
+
+    fn arrived(&self, bytes: &[u8]) {
+        self.counts.borrow_mut().read_bytes += bytes.len() as u64;
+        let own = self.fleet.borrow().members().me().life.incarnation;
+        let opened = self.opener.borrow_mut().open(&self.keys.borrow(), own, bytes);
+        match opened {
+            Ok(letter) => {
+                self.counts.borrow_mut().taken += 1;
+                self.call(|fleet, now| fleet.letter_arrived(now, letter));
+            }
+            Err(refusal) => {
+                *self.counts.borrow_mut().refused.entry(refusal).or_default() += 1;
+                if self.told_refused.is_due() {
+                    let kind = format!("{refusal:?}");
+                    log::warn!(event = "fleet_refused", kind; "a datagram was not taken: {refusal}");
+                }
+            }
+        }
+    }
+
+    /// The fleet's one timer.
+    pub async fn keep_time(self: Rc<Self>) {
+        let mut counted = Instant::now();
+        loop {
+            let after = self.desk.wake.take().unwrap_or(quillpoint_fleet::fleet::TICK);
+            Timer::after(after).await;
+            self.call(|fleet, now| fleet.timer_fired(now));
+            if counted.elapsed() >= COUNTS_EVERY {
+                counted = Instant::now();
+                self.tell_counts();
+            }
+        }
+    }
+
+    fn tell_counts(&self) {
+        let Counts { sent, sent_bytes, taken, read_bytes, probes, spared, refused } = self.counts();
+        let kinds: Vec<String> = refused.iter().map(|(kind, count)| format!("{kind:?}:{count}")).collect();
+        log::info!(
+            event = "fleet_counts", sent, sent_bytes, taken, read_bytes, probes, spared, refused = kinds.join(",");
+            "letters and probes since the start"
+        );
+    }
+
+    /// What holds at once of a configuration that was read anew.
+    pub fn reload(&self, part: &Part) {
+        if *self.keys.borrow() != part.keys {
+            *self.keys.borrow_mut() = part.keys.clone();
+            let ids: Vec<String> = part.keys.ids().map(|id| id.to_string()).collect();
+            log::info!(event = "fleet_keys", keys = ids.join(","); "keys taken over");
+        }
+        self.call(|fleet, now| fleet.seeds_changed(now, part.seeds.clone()));
+        self.tell_counts();
+    }
+
+    /// Hands the duties over and says goodbye.
+    pub fn leave(&self) {
+        self.call(|fleet, now| fleet.leave(now));
+        self.tell_counts();
+        log::info!(event = "fleet_left"; "duties handed over");
+    }
+
+    /// This router has found out something about a node, by an attempt or a probe that it sent at `asked`.
+    pub fn found(&self, asked: Duration, by_probe: bool, news: News) {
+        self.call(|fleet, now| {
+            if by_probe {
+                let duty = fleet.probe_of(news.node);
+                fleet.duty_ended(now, duty);
+            }
+            fleet.found(now, asked, news);
+        });
+    }
+
+    /// The list of nodes has changed.
+    pub fn listed(&self) {
+        let nodes = self.around.nodes();
+        self.call(|fleet, now| fleet.nodes_changed(now, &nodes));
+    }
+
+    /// Whether a probe out of turn is to be made here, or left to another router.
+    pub fn may_probe(&self, node: SocketAddr) -> bool {
+        let alone = self.around.is_shut(node);
+        let may = self.call(|fleet, now| fleet.claim_probe(now, node, alone));
+        let mut counts = self.counts.borrow_mut();
+        *(if may { &mut counts.probes } else { &mut counts.spared }) += 1;
+        may
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts.borrow().clone()
+    }
+
+    /// For whoever looks on: nothing is changed by it.
+    pub fn fleet(&self) -> Ref<'_, Fleet<impl Host>> {
+        self.fleet.borrow()
+    }
+}
+
+fn tell(event: &Event) {
+    match event {
+        Event::Joined { alone } => log::info!(event = "fleet_joined", alone; "takes part in the fleet"),
+        Event::Stopped(span) => {
+            let ms = span.as_millis() as u64;
+            log::warn!(event = "fleet_stopped", ms; "this router stood still for {ms} ms and joins anew");
+        }
+        Event::PeerChanged { peer, life, was, state } => {
+            let (start, version) = (life.incarnation.0, life.version);
+            let (was, state) =
+                (was.map_or("unknown".to_string(), |was| format!("{was:?}")), format!("{state:?}"));
+            log::info!(event = "fleet_peer", peer:% = peer, start, version, was, state; "peer {peer}: {state}");
+        }
+        Event::Contradicted(state) => {
+            log::warn!(event = "fleet_contradicted", state:? = state; "others took this router for {state:?}");
+        }
+        Event::Displaced(address) => {
+            log::error!(
+                event = "fleet_displaced", address:% = address;
+                "a later router of the same name runs at {address}: this one takes no duties"
+            );
+        }
+        Event::Restored => log::info!(event = "fleet_restored"; "the other router of the same name is gone"),
+        Event::TooManyPeers(peer) => {
+            log::warn!(event = "fleet_too_many_peers", peer:% = peer; "no more peers are kept");
+        }
+        Event::Liar { peer, node } => {
+            log::warn!(
+                event = "fleet_liar", peer:% = peer, node:% = node;
+                "node {node} itself contradicts what {peer} told: {peer} is not believed for a minute"
+            );
+        }
+        Event::Duties { owned, all, routers } => {
+            log::info!(event = "fleet_duties", owned, all, routers; "owns {owned} of {all} duties, among {routers}");
+        }
+    }
+}
--- a/crates/router/src/briefing.rs
+++ b/crates/router/src/briefing.rs
@@ -3,10 +3,11 @@
 use std::path::{Path, PathBuf};
 
 use quillpoint_conf::{Conf, Fault as Line};
+use quillpoint_control::Part;
 
 use crate::config::Launch;
 use crate::deployment::Fault;
-use crate::part::{BadPart, Part};
+use crate::part::{self, BadPart};
 
 /// Why a router cannot be started, or does not take over what it is told anew.
 #[derive(Debug, thiserror::Error)]
@@ -70,7 +71,7 @@
     }
 
     fn of(launch: Launch, conf: Option<Conf>) -> Result<Self, Refusal> {
-        let part = conf.as_ref().map(|conf| Part::of(conf, &launch)).transpose()?.flatten();
+        let part = conf.as_ref().map(|conf| part::of(conf, &launch)).transpose()?.flatten();
         Ok(Self { launch, conf, part })
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,7 +22,8 @@
 pub mod pool;
 pub mod presence;
 pub mod report;
-pub mod seldom;
 pub mod serve;
 pub mod signals;
 pub mod statement;
+
+pub use quillpoint_control::seldom;
--- a/crates/router/src/part.rs
+++ b/crates/router/src/part.rs
@@ -1,11 +1,11 @@
-//! A router's part in its fleet, as quillpoint.conf says it: addresses, keys, plans.
+//! A router's part in its fleet, as quillpoint.conf says it.
 
-use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use quillpoint_conf::Conf;
+use quillpoint_control::Part;
 use quillpoint_datagram::keys::{BadKeys, Keyring};
 use quillpoint_fleet::PeerName;
 use quillpoint_fleet::Plans;
@@ -37,63 +37,42 @@
     Missing(&'static str),
 }
 
-#[derive(Clone, Debug)]
-pub struct Part {
-    pub name: PeerName,
-    pub listen: SocketAddr,
-    pub advertise: SocketAddr,
-    pub zone: u16,
-    pub weight: u8,
-    pub keys: Keyring,
-    pub seeds: Vec<SocketAddr>,
-    pub plans: Plans,
-    /// Datagrams looked at a second.
-    pub letters: u64,
-}
-
-impl Part {
-    /// Nothing, where the configuration puts the router in no fleet.
-    ///
-    /// # Errors
-    /// What is at fault beyond the form of the configuration: the key file, the zone, the router's name.
-    pub fn of(conf: &Conf, launch: &Launch) -> Result<Option<Self>, BadPart> {
-        if !conf.has_section("fleet") {
-            return Ok(None);
-        }
-        let count = |name| conf.count("fleet", "", name).ok_or(BadPart::Missing(name));
-        let listen = conf.address("fleet", "", "listen").ok_or(BadPart::Missing("listen"))?;
-        let zones = &launch.deployment.zones;
-        let zone = match conf.word("fleet", "", "zone") {
-            None => 0,
-            Some(zone) => zones
-                .iter()
-                .position(|known| known == zone)
-                .ok_or_else(|| BadPart::Zone { known: zones.join(", "), found: zone.to_string() })?,
-        };
-        let rate = count("work-budget")? as f64;
-        Ok(Some(Self {
-            name: PeerName::new(&launch.name)?,
-            listen,
-            advertise: conf.address("fleet", "", "advertise").unwrap_or(listen),
-            zone: zone as u16,
-            weight: count("weight")? as u8,
-            keys: keys(conf.path("fleet", "", "keys").ok_or(BadPart::Missing("keys"))?)?,
-            seeds: conf.titles("peer").filter_map(|peer| conf.address("peer", peer, "address")).collect(),
-            plans: Plans {
-                probe: plan(
-                    conf,
-                    "probe",
-                    KindId(0),
-                    launch.deployment.tightest.map_or(UNBOUND, |at| at / 2),
-                )?,
-                work_rate: rate,
-                // A tenth of a second's work may come at once.
-                work_burst: (rate / 10.0).max(1.0),
-                news_rate: count("news-budget")? as f64,
-            },
-            letters: count("letters")?,
-        }))
+/// Nothing, where the configuration puts the router in no fleet.
+///
+/// # Errors
+/// What is at fault beyond the form of the configuration: the key file, the zone, the router's name.
+pub fn of(conf: &Conf, launch: &Launch) -> Result<Option<Part>, BadPart> {
+    if !conf.has_section("fleet") {
+        return Ok(None);
     }
+    let count = |name| conf.count("fleet", "", name).ok_or(BadPart::Missing(name));
+    let listen = conf.address("fleet", "", "listen").ok_or(BadPart::Missing("listen"))?;
+    let zones = &launch.deployment.zones;
+    let zone = match conf.word("fleet", "", "zone") {
+        None => 0,
+        Some(zone) => zones
+            .iter()
+            .position(|known| known == zone)
+            .ok_or_else(|| BadPart::Zone { known: zones.join(", "), found: zone.to_string() })?,
+    };
+    let rate = count("work-budget")? as f64;
+    Ok(Some(Part {
+        name: PeerName::new(&launch.name)?,
+        listen,
+        advertise: conf.address("fleet", "", "advertise").unwrap_or(listen),
+        zone: zone as u16,
+        weight: count("weight")? as u8,
+        keys: keys(conf.path("fleet", "", "keys").ok_or(BadPart::Missing("keys"))?)?,
+        seeds: conf.titles("peer").filter_map(|peer| conf.address("peer", peer, "address")).collect(),
+        plans: Plans {
+            probe: plan(conf, "probe", KindId(0), launch.deployment.tightest.map_or(UNBOUND, |at| at / 2))?,
+            work_rate: rate,
+            // A tenth of a second's work may come at once.
+            work_burst: (rate / 10.0).max(1.0),
+            news_rate: count("news-budget")? as f64,
+        },
+        letters: count("letters")?,
+    }))
 }
 
 /// `usual` is how often it is done where the configuration does not say.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -6,6 +6,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use quillpoint::host::Extent;
+use quillpoint_control::{Around, Peers};
 
 use crate::briefing::{Briefing, Refusal};
 use crate::budget::Accounts;
@@ -15,7 +16,6 @@
 use crate::drain;
 use crate::engine::{Engine, Sharing};
 use crate::events;
-use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::report;
 use crate::signals;
@@ -52,7 +52,7 @@
     );
     engine.list_changed(Extent::Remembered, &known);
     let peers = match &briefing.part {
-        Some(part) => Some(Peers::new(part.clone(), Rc::clone(&engine), launch.seed)?),
+        Some(part) => Some(Peers::new(part.clone(), Rc::clone(&engine) as Rc<dyn Around>, launch.seed)?),
         None => None,
     };
     let peers_slot = if peers.is_some() { Some(descriptors.take().await) } else { None };
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -6,9 +6,9 @@
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use quillpoint_control::Peers;
 
 use crate::briefing::{Briefing, Refusal};
-use crate::peers::Peers;
 
 /// From here on none of these ends the process by itself.
 pub fn caught() -> std::io::Result<Signals> {
