quillpoint.conf: sections publish, subscribe and control, and which go together

A router is either a member of a fleet or told by control instances; a control instance is a member that publishes. What stands alone or beside what it excludes is a fault at its place.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -119,9 +119,11 @@
                 format!("{section} {title} {name}").split_whitespace().collect::<Vec<_>>().join(" ")
             })
             .collect();
-        if self.has_section("fleet") != other.has_section("fleet") {
-            differ.push("fleet".to_string());
-        }
+        let parts = directives::SECTIONS.iter().filter(|section| section.titles == Titles::Untitled);
+        let comes_or_goes = |section: &&directives::Section| {
+            self.has_section(section.name) != other.has_section(section.name)
+        };
+        differ.extend(parts.filter(comes_or_goes).map(|section| section.name.to_string()));
         differ.sort();
         differ.dedup();
         differ
@@ -375,6 +377,7 @@
                 }
             }
         }
+        self.beside();
         let outside = ("", String::new(), Place { file: path.to_path_buf(), line: 0, column: 0 });
         let places: Vec<_> = [outside].into_iter().chain(self.sections.iter().cloned()).collect();
         for (section, title, place) in places {
@@ -387,6 +390,22 @@
         if self.faults.is_empty() { Ok(Conf { values, sections }) } else { Err(self.faults) }
     }
 
+    /// Which sections may stand beside which.
+    fn beside(&mut self) {
+        for (name, _, place) in self.sections.clone() {
+            let Some(section) = directives::section(name) else { continue };
+            let stands = |other: &&&str| self.sections.iter().any(|(known, _, _)| *known == **other);
+            let missing = section.needs.iter().find(|other| !stands(other)).copied();
+            let excluded = section.excludes.iter().find(|other| stands(other)).copied();
+            if let Some(other) = missing {
+                self.fault(&place, name, format!("a section {other} beside it"), "none");
+            }
+            if let Some(other) = excluded {
+                self.fault(&place, name, format!("no section {other} beside it"), "both");
+            }
+        }
+    }
+
     fn fill(&mut self, directive: &Directive, title: &str, place: &Place) {
         let key = (directive.section, title.to_string(), directive.name);
         if self.said.contains_key(&key) || self.spoilt.contains(&key) {
--- a/crates/conf/src/directives.rs
+++ b/crates/conf/src/directives.rs
@@ -51,6 +51,9 @@
     pub titles: Titles,
     /// No more may stand.
     pub most: usize,
+    /// Sections without which it may not stand, and those beside which it may not.
+    pub needs: &'static [&'static str],
+    pub excludes: &'static [&'static str],
     pub about: &'static str,
 }
 
@@ -63,12 +66,16 @@
         name: "fleet",
         titles: Titles::Untitled,
         most: 1,
+        needs: &[],
+        excludes: &[],
         about: "This router's part in its fleet. Without it the router shares nothing with others.",
     },
     Section {
         name: "peer",
         titles: Titles::Names,
         most: 256,
+        needs: &[],
+        excludes: &[],
         about: "Where another router of the fleet may be found; the title is its name. A few suffice: the others \
                 are learnt from them. It may name this router itself, so that all routers can have the same file.",
     },
@@ -76,8 +83,37 @@
         name: "duty",
         titles: Titles::Of(&["probe"]),
         most: 1,
+        needs: &[],
+        excludes: &[],
         about: "A periodic duty that the fleet divides; `probe` is the probing of nodes.",
     },
+    Section {
+        name: "publish",
+        titles: Titles::Untitled,
+        most: 1,
+        needs: &["fleet"],
+        excludes: &["subscribe"],
+        about: "Makes this process a control instance: it tells routers that subscribe what its fleet of control \
+                instances finds out about the databases.",
+    },
+    Section {
+        name: "subscribe",
+        titles: Titles::Untitled,
+        most: 1,
+        needs: &["control"],
+        excludes: &["fleet"],
+        about: "This router is told by control instances what they find out about the databases, and is no member of \
+                their fleet.",
+    },
+    Section {
+        name: "control",
+        titles: Titles::Names,
+        most: 64,
+        needs: &["subscribe"],
+        excludes: &[],
+        about: "A control instance that this router may follow; the title is its name. Two of them are followed, those \
+                of the router's own region first.",
+    },
 ];
 
 pub const DIRECTIVES: &[Directive] = &[
@@ -221,6 +257,82 @@
         holds: Holds::Start,
         about: "What doing it once takes of the budget.",
     },
+    Directive {
+        section: "publish",
+        name: "listen",
+        kind: Kind::Address,
+        default: Default::Needed,
+        holds: Holds::Start,
+        about: "Where datagrams of routers arrive (UDP), and from where they are told. Not the `listen` of the fleet.",
+    },
+    Directive {
+        section: "publish",
+        name: "keys",
+        kind: Kind::Path,
+        default: Default::Needed,
+        holds: Holds::Live,
+        about: "The file of the keys that are shared with routers, in the form of the fleet's. It should be another one: \
+                whoever has the fleet's keys can take part in the probing.",
+    },
+    Directive {
+        section: "publish",
+        name: "subscribers",
+        kind: Kind::Count { least: 1, most: 100_000 },
+        default: Default::Is("10000"),
+        holds: Holds::Start,
+        about: "So many routers are told; one more is sent away, and turns to another control instance.",
+    },
+    Directive {
+        section: "publish",
+        name: "copy-budget",
+        kind: Kind::Size { least: 4 << 10, most: 1 << 30 },
+        default: Default::Is("8MiB"),
+        holds: Holds::Start,
+        about: "So many bytes of copies a second go to all routers together; who asks meanwhile waits in line.",
+    },
+    Directive {
+        section: "subscribe",
+        name: "listen",
+        kind: Kind::Address,
+        default: Default::Needed,
+        holds: Holds::Start,
+        about: "Where datagrams of control instances arrive (UDP). They answer to where this router's come from. Port 0: \
+                the system chooses one.",
+    },
+    Directive {
+        section: "subscribe",
+        name: "keys",
+        kind: Kind::Path,
+        default: Default::Needed,
+        holds: Holds::Live,
+        about: "The file of the keys that are shared with control instances, one or two, each on a line of 64 hexadecimal \
+                digits. Nobody but its owner may have any right to it.",
+    },
+    Directive {
+        section: "subscribe",
+        name: "region",
+        kind: Kind::Name,
+        default: Default::None,
+        holds: Holds::Start,
+        about: "The region this router is in, in the words of the `control` sections. Where it is not said, no control \
+                instance is nearer than another.",
+    },
+    Directive {
+        section: "control",
+        name: "address",
+        kind: Kind::Address,
+        default: Default::Needed,
+        holds: Holds::Live,
+        about: "The `listen` of its `publish`, as this router reaches it.",
+    },
+    Directive {
+        section: "control",
+        name: "region",
+        kind: Kind::Name,
+        default: Default::None,
+        holds: Holds::Live,
+        about: "The region it is in.",
+    },
 ];
 
 pub fn section(name: &str) -> Option<&'static Section> {
--- a/crates/conf/src/page.rs
+++ b/crates/conf/src/page.rs
@@ -11,9 +11,9 @@
          the file that says them. `quillpoint check --conf FILE` names every fault with its file, line and column, and \
          prints what holds.\n",
     );
-    table(&mut page, "Outside of sections", "", "");
+    table(&mut page, "Outside of sections", String::new(), "");
     for section in SECTIONS {
-        table(&mut page, &format!("Section `{}`", head(section)), section.about, section.name);
+        table(&mut page, &format!("Section `{}`", head(section)), about(section), section.name);
     }
     debug_assert!(
         DIRECTIVES
@@ -31,7 +31,15 @@
     }
 }
 
-fn table(page: &mut String, title: &str, about: &str, section: &str) {
+fn about(section: &Section) -> String {
+    let said = |word: &str, others: &[&str]| match others {
+        [] => String::new(),
+        others => format!(" Stands {word} beside a section `{}`.", others.join("`, `")),
+    };
+    [section.about, &said("only", section.needs), &said("never", section.excludes)].concat()
+}
+
+fn table(page: &mut String, title: &str, about: String, section: &str) {
     page.push_str(&format!("\n## {title}\n\n"));
     if !about.is_empty() {
         page.push_str(&format!("{about}\n\n"));
--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -66,7 +66,10 @@
         ),
         ("log \"text", "/etc/q/top.conf:1:5: line: expected words, one brace, a comment, found \"text"),
         ("}", "/etc/q/top.conf:1:1: section: expected an opening brace before, found }"),
-        ("fleets {\n}", "/etc/q/top.conf:1:1: section: expected one of: fleet, peer, duty, found fleets"),
+        (
+            "fleets {\n}",
+            "/etc/q/top.conf:1:1: section: expected one of: fleet, peer, duty, publish, subscribe, control, found fleets",
+        ),
         ("duty dig {\n}", "/etc/q/top.conf:1:1: duty: expected one of: probe, found dig"),
         (
             "duty probe {\n every 5\n}",
@@ -127,6 +130,72 @@
     assert_eq!(before.held_back(&one("").unwrap()).last().unwrap(), "fleet work-budget");
 }
 
+const PUBLISH: &str = "publish {\n    listen 127.0.0.1:7500\n    keys feed.keys\n}\n";
+const SUBSCRIBE: &str = "subscribe {\n    listen 127.0.0.1:0\n    keys feed.keys\n}\n";
+const CONTROL: &str = "control c1 {\n    address 127.0.0.1:7500\n}\n";
+
+#[test]
+fn a_control_instance_and_a_router_that_follows_it_are_read() {
+    let control = one(&[FLEET, PUBLISH].concat()).unwrap();
+    assert_eq!(control.count("publish", "", "subscribers"), Some(10_000));
+    assert_eq!(control.count("publish", "", "copy-budget"), Some(8 << 20));
+    let router = one(&[SUBSCRIBE, CONTROL].concat()).unwrap();
+    assert!(!router.has_section("fleet") && !router.has_section("publish"));
+    assert_eq!(router.address("control", "c1", "address"), Some("127.0.0.1:7500".parse().unwrap()));
+    assert_eq!(router.word("subscribe", "", "region"), None);
+    // Where control instances are, and the keys, hold at once; whether it follows any, from the next start on.
+    let elsewhere =
+        one(&[SUBSCRIBE, &CONTROL.replace("7500", "7501"), "control c2 {\n address 127.0.0.1:1\n}"].concat());
+    assert_eq!(router.held_back(&elsewhere.unwrap()), Vec::<String>::new());
+    assert!(router.held_back(&one("").unwrap()).contains(&"subscribe".to_string()));
+}
+
+#[test]
+fn sections_that_cannot_stand_alone_or_side_by_side_are_faults_at_their_place() {
+    let cases = [
+        ([PUBLISH, "", ""], "/etc/q/top.conf:1:1: publish: expected a section fleet beside it, found none"),
+        (
+            [SUBSCRIBE, "", ""],
+            "/etc/q/top.conf:1:1: subscribe: expected a section control beside it, found none",
+        ),
+        (
+            [CONTROL, "", ""],
+            "/etc/q/top.conf:1:1: control: expected a section subscribe beside it, found none",
+        ),
+        (
+            [CONTROL, FLEET, SUBSCRIBE],
+            "/etc/q/top.conf:8:1: subscribe: expected no section fleet beside it, found both",
+        ),
+    ];
+    for (text, fault) in cases {
+        assert_eq!(faults(&text.concat()), [fault], "{text:?}");
+    }
+    let all = faults(&[FLEET, PUBLISH, SUBSCRIBE, CONTROL].concat());
+    assert_eq!(all.len(), 2, "neither end of the feed is the other: {all:?}");
+}
+
+#[test]
+fn values_of_the_feed_are_within_bounds() {
+    let cases = [
+        ("publish", "subscribers 0", "a whole number from 1 to 100000"),
+        ("publish", "subscribers 100001", "a whole number from 1 to 100000"),
+        ("publish", "copy-budget 1KiB", "a size from 4KiB to 1GiB"),
+        ("publish", "copy-budget 8", "a size from 4KiB to 1GiB"),
+        ("subscribe", "region \"\"", "a name of 1 to 64 letters"),
+        ("control c1", "address c1:7500", "an address and a port"),
+    ];
+    for (section, line, expected) in cases {
+        let told = faults(&format!("{section} {{\n{line}\n}}"));
+        let at = |fault: &String| fault.starts_with("/etc/q/top.conf:2:") && fault.contains(expected);
+        assert!(told.iter().any(at), "{line}: {told:?}");
+    }
+    let many: String = (0..65).map(|place| CONTROL.replace("c1", &format!("c{place}"))).collect();
+    assert_eq!(
+        faults(&[SUBSCRIBE, &many].concat()),
+        ["/etc/q/top.conf:197:1: control: expected no more than 64, found c64"]
+    );
+}
+
 #[test]
 fn every_default_is_of_its_kind_and_every_section_is_known() {
     for directive in DIRECTIVES {
--- a/crates/datagram/src/lib.rs
+++ b/crates/datagram/src/lib.rs
@@ -100,7 +100,7 @@
 }
 
 /// Opens what arrives of one kind, and takes nothing twice.
-pub struct Opener<P> {
+pub struct Opener<P = Letter> {
     /// By sender and start; when each was last of use, as a count of what was taken.
     windows: BTreeMap<(PeerName, Incarnation), (Window, u64)>,
     most: usize,
