Feed: publisher and subscriber, first version of the whole interface

One digest a round for all, revised copies of 64 parts, changes within a datagram's room, copies within a budget of bytes; the router's side with its line, its shortest way, its copies, its share while alone. CHANGES_ALONG and ENTRIES_ALONG are caps now: what fits is reckoned by bytes. Not yet tested.

--- /dev/null
+++ b/crates/feed/src/copy.rs
@@ -0,0 +1,224 @@
+//! A router's copy of what one start of one control instance tells.
+//!
+//! A digest covers a part only if the copy has the revision that it names. What is covered is dated by it; what is
+//! not keeps the date that it had. So whatever is missed makes things older and never fresher.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::host::Word;
+use crate::message::{CLASSES, Change, Chunk, DigestNo, Entry, LagClass, PARTS, PartId, Revision, Standing};
+
+/// A part with more databases than this is not kept.
+const MOST_IN_PART: usize = 2048;
+
+/// What a digest says of all that stands as seen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cover {
+    pub number: DigestNo,
+    /// When each had been seen last, at the earliest, on the router's clock.
+    pub at: Duration,
+    pub watermarks: [Option<Duration>; CLASSES],
+}
+
+struct Kept {
+    primary: Option<bool>,
+    started: Option<Duration>,
+    standing: Standing,
+    /// The last digest that its entry is not from: only a later one covers it.
+    after: Option<DigestNo>,
+    /// What was known of it before, and of one that is down when that was told.
+    before: Option<(Duration, Option<Duration>)>,
+}
+
+#[derive(Default)]
+struct Part {
+    revision: Revision,
+    nodes: BTreeMap<SocketAddr, Kept>,
+    cover: Option<Cover>,
+    /// It was taken over whole, and no digest has covered it since.
+    fresh: bool,
+    /// The chunks that have come of a copy, by their place.
+    coming: Option<(Revision, u16, BTreeMap<u16, Vec<Entry>>)>,
+}
+
+pub struct Copy {
+    parts: Vec<Part>,
+}
+
+impl Default for Copy {
+    fn default() -> Self {
+        Self { parts: (0..PARTS).map(|_| Part::default()).collect() }
+    }
+}
+
+impl Part {
+    /// By one entry as it stands from now on.
+    fn set(&mut self, entry: &Entry) {
+        let before = self.nodes.get(&entry.node).and_then(|kept| self.dated(kept));
+        let kept = Kept {
+            primary: entry.primary,
+            started: entry.started,
+            standing: entry.standing,
+            after: self.cover.map(|cover| cover.number),
+            before,
+        };
+        self.nodes.insert(entry.node, kept);
+    }
+
+    /// When a database had been seen last at the earliest, and the position that it had shown by then.
+    fn dated(&self, kept: &Kept) -> Option<(Duration, Option<Duration>)> {
+        match (kept.standing, self.cover) {
+            (Standing::Seen(LagClass(class)), Some(cover)) if kept.after < Some(cover.number) => {
+                Some((cover.at, cover.watermarks.get(usize::from(class)).copied().flatten()))
+            }
+            _ => kept.before,
+        }
+    }
+
+    fn word(&self, node: SocketAddr, kept: &Kept) -> Option<Word> {
+        let (at, position) = self.dated(kept)?;
+        let failed = kept.standing == Standing::Down;
+        let position = position.filter(|_| !failed);
+        Some(Word { node, at, position, primary: kept.primary, started: kept.started, failed })
+    }
+}
+
+impl Copy {
+    /// Takes the changes that follow on the copy, one by one and none left out. Names the databases of which
+    /// something else holds by name from now on.
+    pub fn change(&mut self, mut changes: Vec<Change>, at: Duration) -> Vec<SocketAddr> {
+        changes.sort_by_key(|change| change.revision);
+        let mut named = Vec::new();
+        for Change { revision, node, entry } in changes {
+            let part = &mut self.parts[PartId::of(node).0 as usize];
+            if part.revision == Revision::default() || Revision(part.revision.0 + 1) != revision {
+                continue;
+            }
+            part.revision = revision;
+            let Some((primary, started, standing)) = entry else {
+                part.nodes.remove(&node);
+                continue;
+            };
+            let was = part.nodes.get(&node).map(|kept| (kept.primary, kept.started, kept.standing));
+            if part.nodes.len() >= MOST_IN_PART && was.is_none() {
+                continue;
+            }
+            part.set(&Entry { node, primary, started, standing });
+            if let Some(kept) = part.nodes.get_mut(&node)
+                && standing == Standing::Down
+            {
+                kept.before = Some((at, None));
+            }
+            let down = |standing| standing == Standing::Down;
+            let same = was.is_some_and(|(was_primary, was_started, stood)| {
+                was_primary == primary
+                    && down(stood) == down(standing)
+                    && (started.is_none() || started == was_started)
+            });
+            if !same {
+                named.push(node);
+            }
+        }
+        named
+    }
+
+    /// Takes what a digest says of the parts whose revision the copy has. Names the databases of parts that have come
+    /// whole and of which more is to be said by name than that they are there.
+    pub fn cover(&mut self, revisions: &[Revision], cover: Cover) -> Vec<SocketAddr> {
+        let mut named = Vec::new();
+        for (part, revision) in self.parts.iter_mut().zip(revisions) {
+            if *revision == Revision::default() || part.revision != *revision {
+                continue;
+            }
+            part.cover = Some(cover);
+            if std::mem::take(&mut part.fresh) {
+                for (node, kept) in &mut part.nodes {
+                    if kept.standing == Standing::Down && kept.before.is_none() {
+                        kept.before = Some((cover.at, None));
+                    }
+                    if kept.standing == Standing::Down || kept.primary == Some(true) || kept.started.is_some()
+                    {
+                        named.push(*node);
+                    }
+                }
+            }
+        }
+        named
+    }
+
+    /// Keeps a chunk until all of its revision have come, and then takes the part over. One that is for another part,
+    /// of an earlier revision or not as the others are changes nothing.
+    pub fn chunk(&mut self, chunk: Chunk) {
+        let Chunk { part: id, revision, place, of, entries } = chunk;
+        let Some(part) = self.parts.get_mut(usize::from(id.0)) else { return };
+        let own = entries.iter().all(|entry| PartId::of(entry.node) == id);
+        if !own || place >= of || usize::from(of) > MOST_IN_PART || revision <= part.revision {
+            return;
+        }
+        match &mut part.coming {
+            Some((coming, chunks, _)) if (*coming, *chunks) == (revision, of) => {}
+            Some((coming, _, _)) if *coming > revision => return,
+            other => *other = Some((revision, of, BTreeMap::new())),
+        }
+        let Some((_, _, chunks)) = &mut part.coming else { return };
+        let kept: usize = chunks.values().map(Vec::len).sum();
+        if kept + entries.len() > MOST_IN_PART {
+            part.coming = None;
+            return;
+        }
+        chunks.insert(place, entries);
+        if chunks.len() < usize::from(of) {
+            return;
+        }
+        let entries: Vec<Entry> = std::mem::take(chunks).into_values().flatten().collect();
+        part.coming = None;
+        part.take_over(revision, entries);
+    }
+
+    /// The revision that a part has, and whether chunks of a newer copy are coming in.
+    pub fn revision(&self, part: PartId) -> Revision {
+        self.parts.get(usize::from(part.0)).map_or(Revision::default(), |part| part.revision)
+    }
+
+    /// Whether all parts have been covered.
+    pub fn is_whole(&self) -> bool {
+        self.parts.iter().all(|part| part.cover.is_some())
+    }
+
+    pub fn word(&self, node: SocketAddr) -> Option<Word> {
+        let part = &self.parts[PartId::of(node).0 as usize];
+        part.word(node, part.nodes.get(&node)?)
+    }
+
+    /// How many databases it names, and how many entries wait for the rest of their copies.
+    pub fn len(&self) -> (usize, usize) {
+        let waiting =
+            |part: &Part| part.coming.iter().flat_map(|(_, _, chunks)| chunks.values()).map(Vec::len).sum();
+        let waiting = self.parts.iter().map(|part| -> usize { waiting(part) }).sum();
+        (self.parts.iter().map(|part| part.nodes.len()).sum(), waiting)
+    }
+}
+
+impl Part {
+    fn take_over(&mut self, revision: Revision, entries: Vec<Entry>) {
+        let there: std::collections::BTreeSet<SocketAddr> = entries.iter().map(|entry| entry.node).collect();
+        self.nodes.retain(|node, _| there.contains(node));
+        for entry in &entries {
+            let same = self.nodes.get(&entry.node).is_some_and(|kept| {
+                (kept.primary, kept.started, kept.standing) == (entry.primary, entry.started, entry.standing)
+            });
+            // What has not changed stays dated as it was.
+            if !same {
+                self.set(entry);
+                if entry.standing == Standing::Down
+                    && let Some(kept) = self.nodes.get_mut(&entry.node)
+                {
+                    kept.before = None;
+                }
+            }
+        }
+        (self.revision, self.fresh) = (revision, true);
+    }
+}
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -6,12 +6,24 @@
 //! by name. A router is a subscriber of two of them and no member of their fleet, so that what it receives follows the
 //! trouble and not the size of the installation.
 //!
-//! No I/O, no clock, no threads: publisher and subscriber have one method for each thing that can happen and act by
-//! calling their [`Host`]. Time is handed in as a span on a clock of the process's own that only goes forward; chance
-//! comes from the given seed.
+//! No I/O, no clock, no threads: [`Publisher`] and [`Subscriber`] have one method for each thing that can happen and
+//! act by calling their [`Host`]. Time is handed in as a span on a clock of the process's own that only goes forward;
+//! chance comes from the given seed. docs/feed.md says why things are as they are.
 
+pub mod book;
+pub mod clock;
+pub mod copy;
 pub mod host;
+pub mod line;
 pub mod message;
+pub mod pace;
+pub mod publisher;
+pub mod share;
+pub mod size;
+pub mod subscriber;
 
 pub use host::{Event, Host, Word};
+pub use line::Control;
 pub use message::{Change, Digest, Entry, Envelope, Message, Standing};
+pub use publisher::Publisher;
+pub use subscriber::Subscriber;
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -11,9 +11,10 @@
 pub const PARTS: usize = 64;
 /// Watermarks are told for so many classes of lag: each reaches twice as far behind as the one before.
 pub const CLASSES: usize = 8;
-/// So many changes travel with a digest, and so many entries in one chunk of a copy: either stays within a datagram.
-pub const CHANGES_ALONG: usize = 20;
-pub const ENTRIES_ALONG: usize = 36;
+/// No more changes travel with a digest, and no more entries in one chunk of a copy. How many fit a datagram is reckoned
+/// by their bytes (`size`).
+pub const CHANGES_ALONG: usize = 64;
+pub const ENTRIES_ALONG: usize = 128;
 
 /// A part of the databases.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -82,7 +83,8 @@
     /// For each class of lag: a log position, on the deployment's clock, that each database of the class had shown
     /// then. `None` where no database is of the class.
     pub watermarks: [Option<Duration>; CLASSES],
-    /// The revision of each part that this digest speaks for. It says nothing to whoever has another one.
+    /// The revision of each part that this digest speaks for. It says nothing to whoever has another one. The default
+    /// where it speaks for no copy: something has changed there that cannot be told yet.
     pub revisions: Vec<Revision>,
     /// The latest changes, each told in several digests.
     pub changes: Vec<Change>,
--- /dev/null
+++ b/crates/feed/src/share.rs
@@ -0,0 +1,110 @@
+//! What a router may probe by itself: its share of what all may do together, so that thousands who lose their control
+//! instances at once are no storm on the databases.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::pace::Bucket;
+
+/// All routers together probe so many times as often as the control instances do. One would leave a router that uses
+/// many databases with answers that are minutes old; a database that bears its clients bears a few probes more.
+pub const TIMES: f64 = 4.0;
+/// One database is probed by no more than so many routers in each period, whatever the number of routers.
+pub const CROWD: f64 = 100.0;
+/// Routers that have reason to look at a database at the same moment do so at this rate, one after the other.
+const LOOKS: f64 = 4000.0;
+/// So long after the last word of a control instance do first probes begin, at random.
+const FIRST: Duration = Duration::from_secs(1);
+
+/// What a router's share is reckoned from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    pub period: Duration,
+    pub routers: u32,
+}
+
+struct Claim {
+    due: Duration,
+    at: Option<Duration>,
+}
+
+pub struct Share {
+    basis: Basis,
+    nodes: BTreeSet<SocketAddr>,
+    tokens: Bucket,
+    /// The databases that it has asked to probe.
+    claims: BTreeMap<SocketAddr, Claim>,
+}
+
+impl Share {
+    pub fn new(basis: Basis, now: Duration) -> Self {
+        let (nodes, claims) = (BTreeSet::new(), BTreeMap::new());
+        let mut share = Self { basis, nodes, tokens: Bucket::new(0.0, 1.0, now), claims };
+        share.reckon(now);
+        share
+    }
+
+    pub fn nodes_changed(&mut self, now: Duration, nodes: &BTreeSet<SocketAddr>) {
+        self.nodes.clone_from(nodes);
+        self.claims.retain(|node, _| nodes.contains(node));
+        self.reckon(now);
+    }
+
+    pub fn basis_changed(&mut self, now: Duration, basis: Basis) {
+        if basis != self.basis {
+            self.basis = basis;
+            self.reckon(now);
+        }
+    }
+
+    fn reckon(&mut self, now: Duration) {
+        let all = self.nodes.len() as f64 / self.basis.period.as_secs_f64().max(1e-3);
+        let rate = all * (TIMES / f64::from(self.basis.routers.max(1))).min(1.0);
+        self.tokens.set(now, rate, 1.0);
+    }
+
+    /// All others are in the same case at this moment: nothing is saved, and each begins at its own time.
+    pub fn begin(&mut self, now: Duration, chance: &mut ChaCha8Rng) {
+        self.tokens = Bucket::new(0.0, 1.0, now + FIRST.mul_f64(chance.random_range(0.0..1.0)));
+        self.reckon(now);
+    }
+
+    pub fn is_listed(&self, node: SocketAddr) -> bool {
+        self.nodes.contains(&node)
+    }
+
+    /// Whether the database may be probed now. `news`: when others have last heard of it, where that is a reason to
+    /// look again.
+    pub fn claim(
+        &mut self,
+        now: Duration,
+        node: SocketAddr,
+        news: Option<Duration>,
+        chance: &mut ChaCha8Rng,
+    ) -> bool {
+        if !self.nodes.contains(&node) {
+            return false;
+        }
+        let routers = f64::from(self.basis.routers);
+        let mut soon = || Duration::from_secs_f64(chance.random_range(0.0..1.0) * routers / LOOKS);
+        let claim = self.claims.entry(node).or_insert_with(|| Claim { due: now + soon(), at: None });
+        // It has been heard of since this router looked: one look more, and not before a period has passed.
+        if let (Some(news), Some(at)) = (news, claim.at)
+            && news > at + self.basis.period
+            && claim.due > now + self.basis.period
+        {
+            claim.due = now + soon();
+        }
+        if claim.due > now || !self.tokens.has(now, 1.0) {
+            return false;
+        }
+        self.tokens.spend(1.0);
+        let floor = self.basis.period.mul_f64((routers / CROWD).max(1.0));
+        *claim = Claim { due: now + floor, at: Some(now) };
+        true
+    }
+}
--- /dev/null
+++ b/crates/feed/src/subscriber.rs
@@ -0,0 +1,528 @@
+//! A router's side: whom it follows, what it knows by them, and what it does while none speaks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillpoint_fleet::{Incarnation, PeerName};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Shortest;
+use crate::copy::{Copy, Cover};
+use crate::host::{Event, Host, Word};
+use crate::line::{Control, line};
+use crate::message::{CHANGES_ALONG, Digest, DigestNo, ENTRIES_ALONG, Message, PARTS, PartId, Revision};
+use crate::share::{Basis, Share};
+
+/// So many control instances are followed, and one more while it takes another's place.
+const FOLLOWED: usize = 2;
+/// Copies of so many others are kept for when they speak again.
+const RESTING: usize = 2;
+const TICK: Duration = Duration::from_millis(50);
+/// One that has sent no digest for so many of their intervals is lost.
+const SILENT: u32 = 5;
+/// How often a subscription is said again, and at first, until the other speaks.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+const ASK_FIRST: Duration = Duration::from_millis(400);
+/// One that has not spoken by then is taken for gone.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// How long one that is gone is left alone: twice as long each time, up to this many times; the first while alone.
+const LEFT_ALONE: Duration = Duration::from_millis(750);
+const LEFT_ALONE_MOST: u32 = 16;
+/// How long one that has no room is left alone.
+const FULL: Duration = Duration::from_secs(10);
+/// When the one that stands further in front is tried again, about.
+const RETURN: Duration = Duration::from_secs(10);
+/// The first digests tell only how long the way is.
+const MEASURED: u32 = 2;
+/// A digest that is later than this is worth nothing; nor is what it says of the way.
+const LATEST: Duration = Duration::from_secs(2);
+/// So many parts are asked for at a time, again after this, and twice as long after each further try.
+const IN_FLIGHT: usize = 16;
+const PULL_AGAIN: Duration = Duration::from_millis(400);
+const PULL_TRIES: u32 = 4;
+/// A second copy is asked for at some time within this, once there is a first.
+const SECOND_COPY: Duration = Duration::from_secs(3);
+/// What has been told counts as known for so long, and no control instance speaking for as long is told to people.
+const TOLD_FOR: Duration = Duration::from_secs(1);
+
+/// What a subscriber is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Control instances of this region go first.
+    pub region: Option<String>,
+    /// The time between two digests.
+    pub every: Duration,
+    /// How often each database is probed, and about how many routers there are, as long as none has said so.
+    pub period: Duration,
+    pub routers: u32,
+}
+
+struct Pull {
+    /// When it is asked for, or asked for again.
+    due: Duration,
+    tries: u32,
+}
+
+/// A control instance that is followed, or has been.
+struct Followed {
+    control: Control,
+    /// Since when, and when the last digest came since then.
+    since: Duration,
+    heard: Option<Duration>,
+    ask: Duration,
+    start: Option<Incarnation>,
+    number: DigestNo,
+    way: Shortest,
+    digests: u32,
+    copy: Copy,
+    /// What its last digest speaks for, and what is asked for by that.
+    revisions: Vec<Revision>,
+    pulls: BTreeMap<PartId, Pull>,
+    /// From when on it may be asked for a copy although there is one of another's.
+    second: Option<Duration>,
+}
+
+/// One that has been in vain.
+#[derive(Clone, Copy)]
+struct Gone {
+    until: Duration,
+    times: u32,
+}
+
+pub struct Subscriber<H: Host> {
+    host: H,
+    me: PeerName,
+    plan: Plan,
+    chance: ChaCha8Rng,
+    /// All control instances, in the order of preference.
+    line: Vec<Control>,
+    followed: Vec<Followed>,
+    resting: Vec<Followed>,
+    /// The start and the last digest of each that has been heard.
+    heard: BTreeMap<PeerName, (Incarnation, DigestNo)>,
+    gone: BTreeMap<PeerName, Gone>,
+    return_at: Option<Duration>,
+    share: Share,
+    /// When a control instance last spoke; whether none does, and whether people know.
+    spoken: Duration,
+    alone: bool,
+    told_alone: bool,
+    left: bool,
+}
+
+impl Followed {
+    fn speaks(&self, now: Duration, silent: Duration) -> bool {
+        self.heard.is_some_and(|heard| heard + silent >= now)
+    }
+
+    /// Another process of that name: nothing of the earlier one holds.
+    fn start_anew(&mut self, start: Incarnation) {
+        (self.start, self.number, self.way, self.digests) =
+            (Some(start), DigestNo::default(), Shortest::default(), 0);
+        (self.copy, self.second) = (Copy::default(), None);
+        self.revisions.clear();
+        self.pulls.clear();
+    }
+}
+
+impl<H: Host> Subscriber<H> {
+    /// `control`: name, address and region of each control instance. Two are followed.
+    pub fn new(host: H, me: PeerName, plan: Plan, control: Vec<Control>, seed: u64, now: Duration) -> Self {
+        let line = line(&me, plan.region.as_deref(), control);
+        let basis = Basis { period: plan.period, routers: plan.routers };
+        let mut subscriber = Self {
+            host,
+            me,
+            plan,
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            line,
+            followed: Vec::new(),
+            resting: Vec::new(),
+            heard: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            return_at: None,
+            share: Share::new(basis, now),
+            spoken: now,
+            alone: true,
+            told_alone: false,
+            left: false,
+        };
+        subscriber.share.begin(now, &mut subscriber.chance);
+        let first = subscriber.part_of(TICK);
+        subscriber.host.wake(first);
+        subscriber
+    }
+
+    /// Others stand on the list of control instances from now on.
+    pub fn control_changed(&mut self, now: Duration, control: Vec<Control>) {
+        self.line = line(&self.me, self.plan.region.as_deref(), control);
+        let line = &self.line;
+        let listed = |followed: &Followed| line.contains(&followed.control);
+        let off: Vec<PeerName> = self
+            .followed
+            .iter()
+            .filter(|followed| !listed(followed))
+            .map(|followed| followed.control.name.clone())
+            .collect();
+        self.resting.retain(listed);
+        let named = |name: &PeerName| line.iter().any(|control| control.name == *name);
+        self.heard.retain(|name, _| named(name));
+        self.gone.retain(|name, _| named(name));
+        off.iter().for_each(|name| _ = self.stop_following(now, name, true));
+        self.resting.retain(|followed| self.line.contains(&followed.control));
+        self.return_at = None;
+    }
+
+    /// The databases there are. Nothing is said of any other.
+    pub fn nodes_changed(&mut self, now: Duration, nodes: &BTreeSet<SocketAddr>) {
+        self.share.nodes_changed(now, nodes);
+    }
+
+    /// A message that is authentic and not one that came before.
+    pub fn message_arrived(&mut self, now: Duration, from: &PeerName, start: Incarnation, message: Message) {
+        if self.left || self.heard.get(from).is_some_and(|(known, _)| *known > start) {
+            return;
+        }
+        let Some(place) = self.followed.iter().position(|followed| followed.control.name == *from) else {
+            return;
+        };
+        let followed = &mut self.followed[place];
+        if followed.start != Some(start) {
+            followed.start_anew(start);
+        }
+        match message {
+            Message::Digest(digest) => self.digest(now, place, start, digest),
+            Message::Chunk(chunk) if chunk.entries.len() <= ENTRIES_ALONG => followed.copy.chunk(chunk),
+            Message::Full => self.give_up(now, from, FULL),
+            Message::Leaving => self.give_up(now, from, LEFT_ALONE * 4),
+            // What a router says is no matter of another's.
+            Message::Chunk(_) | Message::Subscribe | Message::Unsubscribe | Message::Pull(_) => {}
+        }
+    }
+
+    fn digest(&mut self, now: Duration, place: usize, start: Incarnation, digest: Digest) {
+        let Digest { number, sent, age, watermarks, revisions, changes, period, routers } = digest;
+        let grace = self.plan.every * 2;
+        let followed = &mut self.followed[place];
+        let name = followed.control.name.clone();
+        let before = self.heard.get(&name).filter(|(known, _)| *known == start).map(|(_, number)| *number);
+        let late = Some(number) <= before || number <= followed.number;
+        if late || revisions.len() != PARTS || changes.len() > CHANGES_ALONG {
+            return;
+        }
+        let late = followed.way.late(now, sent);
+        if late > LATEST {
+            return;
+        }
+        (followed.number, followed.digests) = (number, followed.digests.saturating_add(1));
+        let speaks = followed.heard.replace(now).is_some();
+        self.heard.insert(name.clone(), (start, number));
+        if !speaks {
+            self.gone.remove(&name);
+            self.host.tell(Event::Following(name));
+        }
+        self.spoken = now;
+        self.share.basis_changed(now, Basis { period: period.max(Duration::from_millis(1)), routers });
+        self.look(now);
+        let followed = &mut self.followed[place];
+        if followed.digests <= MEASURED {
+            return;
+        }
+        // What was late is as much older: the age counts from the sending.
+        let at = now.saturating_sub(late).saturating_sub(age);
+        let mut named = followed.copy.change(changes, at);
+        named.extend(followed.copy.cover(&revisions, Cover { number, at, watermarks }));
+        for (part, revision) in (0..).map(PartId).zip(&revisions) {
+            let own = followed.copy.revision(part);
+            if own >= *revision {
+                followed.pulls.remove(&part);
+            } else if *revision != Revision::default() {
+                // A change that was missed is told again soon; only then is the part asked for.
+                let after = if own == Revision::default() { Duration::ZERO } else { grace };
+                let due = now + after.mul_f64(self.chance.random_range(1.0..2.0));
+                followed.pulls.entry(part).or_insert(Pull { due, tries: 0 });
+            }
+        }
+        followed.revisions = revisions;
+        for node in named {
+            if self.share.is_listed(node)
+                && let Some(word) = followed.copy.word(node)
+            {
+                self.host.learnt(word);
+            }
+        }
+    }
+
+    pub fn timer_fired(&mut self, now: Duration) {
+        if self.left {
+            return;
+        }
+        self.lose_silent(now);
+        self.look(now);
+        self.follow_enough(now);
+        self.go_back(now);
+        self.ask(now);
+        self.pull(now);
+        self.host.wake(TICK);
+    }
+
+    fn silent(&self) -> Duration {
+        self.plan.every * SILENT
+    }
+
+    /// Those that have been silent for too long are lost.
+    fn lose_silent(&mut self, now: Duration) {
+        let silent = self.silent();
+        let over = |followed: &&Followed| match followed.heard {
+            Some(heard) => heard + silent < now,
+            None => followed.since + PATIENCE < now,
+        };
+        let lost: Vec<PeerName> =
+            self.followed.iter().filter(over).map(|followed| followed.control.name.clone()).collect();
+        for name in lost {
+            let alone = !self.followed.iter().any(|followed| followed.speaks(now, silent));
+            let times = self.gone.get(&name).map_or(1, |gone| (gone.times * 2).min(LEFT_ALONE_MOST));
+            let times = if alone { 1 } else { times };
+            self.give_up(now, &name, LEFT_ALONE * times);
+            if let Some(gone) = self.gone.get_mut(&name) {
+                gone.times = times;
+            }
+        }
+    }
+
+    /// It is no more followed, and left alone for about so long.
+    fn give_up(&mut self, now: Duration, name: &PeerName, about: Duration) {
+        let until = now + about.mul_f64(self.chance.random_range(0.75..1.5));
+        let times = self.gone.get(name).map_or(1, |gone| gone.times);
+        self.gone.insert(name.clone(), Gone { until, times });
+        if self.stop_following(now, name, true) {
+            self.host.tell(Event::Lost(name.clone()));
+        }
+        self.look(now);
+    }
+
+    /// Whether it had spoken. What is known by it is kept for a while: it may speak again.
+    fn stop_following(&mut self, now: Duration, name: &PeerName, ask_less: bool) -> bool {
+        let Some(place) = self.followed.iter().position(|followed| followed.control.name == *name) else {
+            return false;
+        };
+        let mut followed = self.followed.remove(place);
+        if ask_less {
+            self.host.send(followed.control.address, followed.start, Message::Unsubscribe);
+        }
+        let spoke = followed.heard.take().is_some();
+        if followed.start.is_some() {
+            followed.since = now;
+            followed.pulls.clear();
+            self.resting.push(followed);
+            if self.resting.len() > RESTING {
+                self.resting.remove(0);
+            }
+        }
+        spoke
+    }
+
+    /// Notes whether any control instance speaks.
+    fn look(&mut self, now: Duration) {
+        let silent = self.silent();
+        let speaks = self.followed.iter().any(|followed| followed.speaks(now, silent));
+        if self.alone && speaks && std::mem::take(&mut self.told_alone) {
+            self.host.tell(Event::NotAlone);
+        }
+        if !self.alone && !speaks {
+            self.share.begin(now, &mut self.chance);
+        }
+        self.alone = !speaks;
+        if self.alone && !self.told_alone && self.spoken + TOLD_FOR < now {
+            self.told_alone = true;
+            self.host.tell(Event::Alone);
+        }
+    }
+
+    /// As many are followed as should be: the next in line that are not known to be gone.
+    fn follow_enough(&mut self, now: Duration) {
+        while self.followed.len() < FOLLOWED {
+            let free = |control: &&Control| !self.follows(&control.name) && !self.is_gone(now, &control.name);
+            let Some(next) = self.line.iter().find(free).cloned() else { return };
+            self.follow(now, next);
+        }
+    }
+
+    fn follows(&self, name: &PeerName) -> bool {
+        self.followed.iter().any(|followed| followed.control.name == *name)
+    }
+
+    fn is_gone(&self, now: Duration, name: &PeerName) -> bool {
+        self.gone.get(name).is_some_and(|gone| gone.until > now)
+    }
+
+    fn follow(&mut self, now: Duration, control: Control) {
+        let rested = self.resting.iter().position(|rested| rested.control == control);
+        let followed = match rested.map(|place| self.resting.remove(place)) {
+            // The way may be another by now.
+            Some(rested) => Followed {
+                since: now,
+                ask: now,
+                digests: 0,
+                way: Shortest::default(),
+                second: None,
+                ..rested
+            },
+            None => Followed {
+                control,
+                since: now,
+                heard: None,
+                ask: now,
+                start: None,
+                number: DigestNo::default(),
+                way: Shortest::default(),
+                digests: 0,
+                copy: Copy::default(),
+                revisions: Vec::new(),
+                pulls: BTreeMap::new(),
+                second: None,
+            },
+        };
+        self.followed.push(followed);
+    }
+
+    /// Where others stand further in front than those that are followed, the first of them is followed too after a
+    /// while, and takes the place of the last once it is known what it knows.
+    fn go_back(&mut self, now: Duration) {
+        let place = |name: &PeerName| self.line.iter().position(|control| control.name == *name);
+        let last = self.followed.iter().filter_map(|followed| place(&followed.control.name)).max();
+        let Some(last) = last else { return };
+        if self.followed.len() > FOLLOWED {
+            let whole = self.followed.iter().all(|followed| followed.copy.is_whole());
+            if whole && let Some(control) = self.line.get(last) {
+                let name = control.name.clone();
+                self.stop_following(now, &name, true);
+                self.return_at = None;
+            }
+            return;
+        }
+        let better = self.line.iter().take(last).find(|control| !self.follows(&control.name)).cloned();
+        let (Some(better), FOLLOWED) = (better, self.followed.len()) else {
+            self.return_at = None;
+            return;
+        };
+        match self.return_at {
+            None => self.return_at = Some(now + RETURN.mul_f64(self.chance.random_range(0.5..1.5))),
+            Some(at) if at <= now && !self.is_gone(now, &better.name) => {
+                self.return_at = None;
+                self.follow(now, better);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Subscriptions are said again and again.
+    fn ask(&mut self, now: Duration) {
+        for followed in &mut self.followed {
+            if followed.ask > now {
+                continue;
+            }
+            let again = if followed.heard.is_some() { ASK_EVERY } else { ASK_FIRST };
+            followed.ask = now + again.mul_f64(self.chance.random_range(0.8..1.2));
+            self.host.send(followed.control.address, None, Message::Subscribe);
+        }
+    }
+
+    /// Parts whose copy is not as the digests say are asked for, a few at a time.
+    fn pull(&mut self, now: Duration) {
+        let silent = self.silent();
+        let whole = self.followed.iter().any(|one| one.speaks(now, silent) && one.copy.is_whole());
+        // Without any copy one is fetched first: all of them at once would take twice as long.
+        let first = self.followed.iter().position(|one| one.speaks(now, silent) && !one.copy.is_whole());
+        for (place, followed) in self.followed.iter_mut().enumerate() {
+            if !followed.copy.is_whole() {
+                if whole {
+                    let chance = &mut self.chance;
+                    let second = || now + SECOND_COPY.mul_f64(chance.random_range(0.0..1.0));
+                    if *followed.second.get_or_insert_with(second) > now {
+                        continue;
+                    }
+                } else if first != Some(place) && followed.since + SECOND_COPY > now {
+                    continue;
+                }
+            }
+            let asked = followed.pulls.values().filter(|pull| pull.tries > 0 && pull.due > now).count();
+            let due = followed.pulls.iter_mut().filter(|(_, pull)| pull.due <= now);
+            let mut parts = Vec::new();
+            for (part, pull) in due.take(IN_FLIGHT.saturating_sub(asked)) {
+                let again = PULL_AGAIN * (1 << pull.tries.min(PULL_TRIES));
+                *pull = Pull {
+                    due: now + again.mul_f64(self.chance.random_range(1.0..1.5)),
+                    tries: pull.tries.saturating_add(1),
+                };
+                parts.push(*part);
+            }
+            if !parts.is_empty() {
+                self.host.send(followed.control.address, followed.start, Message::Pull(parts));
+            }
+        }
+    }
+
+    /// What may be believed of a database by now: the best of what is followed, and of what was.
+    pub fn known(&self, _now: Duration, node: SocketAddr) -> Option<Word> {
+        if !self.share.is_listed(node) {
+            return None;
+        }
+        let all = self.followed.iter().chain(&self.resting);
+        all.filter_map(|followed| followed.copy.word(node)).max_by_key(|word| word.at)
+    }
+
+    /// Whether this router may probe a database now. While it is told of it: only where `alone` (nobody else's probe
+    /// is of use). While no control instance speaks, or none that has seen it: within its own paced share.
+    pub fn claim_probe(&mut self, now: Duration, node: SocketAddr, alone: bool) -> bool {
+        if self.left {
+            return false;
+        }
+        self.look(now);
+        let word = self.known(now, node).filter(|_| !self.alone);
+        let told = word.is_some_and(|word| word.failed || word.at + TOLD_FOR >= now);
+        if told && !alone {
+            return false;
+        }
+        let news = word.filter(|word| !word.failed).map(|word| word.at);
+        self.share.claim(now, node, news, &mut self.chance)
+    }
+
+    pub fn is_alone(&self) -> bool {
+        self.alone
+    }
+
+    /// Says goodbye. Nothing is asked for from then on.
+    pub fn leave(&mut self, _now: Duration) {
+        if std::mem::replace(&mut self.left, true) {
+            return;
+        }
+        for followed in &self.followed {
+            self.host.send(followed.control.address, followed.start, Message::Unsubscribe);
+        }
+    }
+
+    /// How many databases the copies name, those kept for later too, and how many entries wait for the rest of theirs.
+    pub fn kept(&self) -> (usize, usize) {
+        let all = self.followed.iter().chain(&self.resting).map(|followed| followed.copy.len());
+        all.fold((0, 0), |sum, (named, waiting)| (sum.0 + named, sum.1 + waiting))
+    }
+
+    /// Whether one that speaks has told all there is to know.
+    pub fn is_whole(&self) -> bool {
+        self.followed.iter().any(|followed| followed.heard.is_some() && followed.copy.is_whole())
+    }
+
+    pub fn follows_by(&self) -> impl Iterator<Item = &PeerName> {
+        self.followed
+            .iter()
+            .filter(|followed| followed.heard.is_some())
+            .map(|followed| &followed.control.name)
+    }
+
+    fn part_of(&mut self, span: Duration) -> Duration {
+        span.mul_f64(self.chance.random_range(0.0..1.0))
+    }
+}
