A control side's socket is one part, Wire, which counts and paces

Peers, and the feed's sockets to come, read and send through one place, where datagrams and bytes are counted and a flood is held to its share. Around may say that an address is not reached, which lets a measurement cut hollow routers off; real ones reach all. fleet_counts tells what was read and what is kept, in bytes by count and size of entries.

--- a/crates/control/src/around.rs
+++ b/crates/control/src/around.rs
@@ -18,4 +18,10 @@
     fn probe(&self, node: SocketAddr) -> bool;
     /// Whether only an own probe tells this router anything of the node.
     fn is_shut(&self, node: SocketAddr) -> bool;
+    /// A digest has come: what is known of all databases may be newer.
+    fn refreshed(&self) {}
+    /// Whether datagrams pass to and from there. They always do, but where a measurement cuts routers off.
+    fn reaches(&self, _other: SocketAddr) -> bool {
+        true
+    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod part;
 pub mod peers;
 pub mod seldom;
+pub mod wire;
 
 pub use around::Around;
 pub use part::Part;
 pub use peers::{Counts, Peers};
+pub use wire::{Traffic, Wire};
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -6,12 +6,11 @@
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::{Async, Timer};
-use futures_lite::future;
+use async_io::Timer;
 use quillpoint_datagram::keys::Keyring;
 use quillpoint_datagram::{LONGEST, Opener, Refusal, Sealer};
 use quillpoint_fleet::ids::{DutyId, Subject};
@@ -20,11 +19,8 @@
 use crate::around::Around;
 use crate::part::Part;
 use crate::seldom::Seldom;
+use crate::wire::{Traffic, Wire};
 
-/// So many datagrams are read before others have their turn.
-const AT_ONCE: u32 = 32;
-/// A pause when more come than are looked at, and after a failed read.
-const PAUSE: Duration = Duration::from_millis(10);
 /// How often the counts are logged.
 const COUNTS_EVERY: Duration = Duration::from_secs(60);
 
@@ -65,13 +61,9 @@
 /// What has passed since the start.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
-    /// Datagrams sent, and their bytes without the heads of UDP and IP.
-    pub sent: u64,
-    pub sent_bytes: u64,
+    pub traffic: Traffic,
     /// Datagrams that were taken for letters.
     pub taken: u64,
-    /// The bytes of all that was read, taken or not.
-    pub read_bytes: u64,
     /// Probes that were made as a duty or claimed, and those that another router's word made needless.
     pub probes: u64,
     pub spared: u64,
@@ -82,11 +74,10 @@
     around: Rc<dyn Around>,
     fleet: RefCell<Fleet<Hand>>,
     desk: Rc<Desk>,
-    socket: Async<UdpSocket>,
+    wire: Wire,
     keys: RefCell<Keyring>,
     sealer: RefCell<Sealer>,
     opener: RefCell<Opener>,
-    letters: u64,
     counts: RefCell<Counts>,
     told_refused: Seldom,
     told_unsent: Seldom,
@@ -98,25 +89,23 @@
     /// # Errors
     /// The address cannot be had.
     pub fn new(part: Part, around: Rc<dyn Around>, seed: u64) -> io::Result<Rc<Self>> {
-        let socket = Async::<UdpSocket>::bind(part.listen)?;
+        let wire = Wire::bind(part.listen, Rc::clone(&around), part.letters)?;
         let (now, desk) = (around.now(), Rc::new(Desk::default()));
         let start = Incarnation(now.as_micros() as u64);
         let life = Life { incarnation: start, version: 0 };
         let Part { name, advertise: address, zone, weight, .. } = part;
         let me = Card { name, life, address, zone, weight, state: State::Joining };
         // A port that the system chooses is known only now.
-        let me =
-            if address.port() == 0 { Card { address: socket.get_ref().local_addr()?, ..me } } else { me };
+        let me = if address.port() == 0 { Card { address: wire.local_addr()?, ..me } } else { me };
         let fleet = Fleet::new(Hand(Rc::clone(&desk)), me, part.seeds, part.plans, seed, now);
         Ok(Rc::new(Self {
             around,
             fleet: RefCell::new(fleet),
             desk,
-            socket,
+            wire,
             keys: RefCell::new(part.keys),
             sealer: RefCell::default(),
             opener: RefCell::default(),
-            letters: part.letters,
             counts: RefCell::default(),
             told_refused: Seldom::default(),
             told_unsent: Seldom::default(),
@@ -160,50 +149,27 @@
     fn send(&self, to: SocketAddr, session: Option<Incarnation>, letter: &Letter) {
         let sealed = self.sealer.borrow_mut().seal(&self.keys.borrow(), session, letter);
         let sent = match &sealed {
-            Ok(bytes) => self.socket.get_ref().send_to(bytes, to).map_err(|error| error.to_string()),
+            Ok(bytes) => self.wire.send(bytes, to).map_err(|error| error.to_string()),
             Err(error) => Err(error.to_string()),
         };
         match sent {
-            Ok(bytes) => {
-                let mut counts = self.counts.borrow_mut();
-                counts.sent += 1;
-                counts.sent_bytes += bytes as u64;
-            }
             Err(error) if self.told_unsent.is_due() => {
                 log::warn!(event = "fleet_unsent", to:% = to, error; "a letter could not be sent");
             }
-            Err(_) => {}
+            _ => {}
         }
     }
 
-    /// Takes letters as long as the process runs. A flood of datagrams gets no more than its share of the thread.
+    /// Takes letters as long as the process runs.
     pub async fn listen(self: Rc<Self>) {
         let mut bytes = [0; LONGEST + 1];
-        let (mut since, mut looked_at, mut in_a_row) = (Instant::now(), 0, 0);
         loop {
-            match self.socket.recv_from(&mut bytes).await {
-                Ok((length, _)) => self.arrived(&bytes[..length]),
-                Err(error) => {
-                    log::debug!("datagrams: {error}");
-                    Timer::after(PAUSE).await;
-                }
-            }
-            (looked_at, in_a_row) = (looked_at + 1, in_a_row + 1);
-            if in_a_row >= AT_ONCE {
-                in_a_row = 0;
-                future::yield_now().await;
-            }
-            if since.elapsed() >= PAUSE {
-                (since, looked_at) = (Instant::now(), 0);
-            } else if looked_at as f64 > (self.letters as f64 * PAUSE.as_secs_f64()).max(1.0) {
-                Timer::after(PAUSE).await;
-                (since, looked_at) = (Instant::now(), 0);
-            }
+            let (length, _) = self.wire.read(&mut bytes).await;
+            self.arrived(&bytes[..length]);
         }
     }
 
     fn arrived(&self, bytes: &[u8]) {
-        self.counts.borrow_mut().read_bytes += bytes.len() as u64;
         let own = self.fleet.borrow().members().me().life.incarnation;
         let opened = self.opener.borrow_mut().open(&self.keys.borrow(), own, bytes);
         match opened {
@@ -236,10 +202,12 @@
     }
 
     fn tell_counts(&self) {
-        let Counts { sent, sent_bytes, taken, read_bytes, probes, spared, refused } = self.counts();
+        let Counts { traffic, taken, probes, spared, refused } = self.counts();
+        let Traffic { sent, sent_bytes, read, read_bytes } = traffic;
+        let state = self.fleet.borrow().state_bytes();
         let kinds: Vec<String> = refused.iter().map(|(kind, count)| format!("{kind:?}:{count}")).collect();
         log::info!(
-            event = "fleet_counts", sent, sent_bytes, taken, read_bytes, probes, spared, refused = kinds.join(",");
+            event = "fleet_counts", sent, sent_bytes, taken, read, read_bytes, probes, spared, state, refused = kinds.join(",");
             "letters and probes since the start"
         );
     }
@@ -289,7 +257,7 @@
     }
 
     pub fn counts(&self) -> Counts {
-        self.counts.borrow().clone()
+        Counts { traffic: self.wire.traffic(), ..self.counts.borrow().clone() }
     }
 
     /// For whoever looks on: nothing is changed by it.
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -205,6 +205,14 @@
         nodes.filter_map(|node| pick(&self.nodes[&node])).collect()
     }
 
+    /// In bytes, without what an allocator adds.
+    pub fn state_bytes(&self) -> usize {
+        let voices: usize = self.nodes.values().map(|known| known.failures.len()).sum();
+        self.nodes.len() * size_of::<(SocketAddr, Known)>()
+            + self.fresh.len() * size_of::<SocketAddr>()
+            + (voices + self.distrusted.len()) * size_of::<(PeerName, Duration)>()
+    }
+
     pub fn len(&self) -> usize {
         self.nodes.len()
     }
--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -176,6 +176,13 @@
         (self.duties.values().filter(|duty| duty.place == Some(0)).count(), self.duties.len())
     }
 
+    /// In bytes, without what an allocator adds.
+    pub fn state_bytes(&self) -> usize {
+        self.duties.len() * size_of::<(DutyId, Duty)>()
+            + self.candidates.len() * size_of::<Candidate>()
+            + self.scheduler.state_bytes()
+    }
+
     pub fn is_known(&self, id: DutyId) -> bool {
         self.duties.contains_key(&id)
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -164,6 +164,12 @@
         &self.duties
     }
 
+    /// What is kept of routers, nodes and duties, in bytes: by count and size of the entries, without what an
+    /// allocator adds.
+    pub fn state_bytes(&self) -> usize {
+        self.members.state_bytes() + self.duties.state_bytes() + self.book.state_bytes()
+    }
+
     pub fn probe_of(&self, node: SocketAddr) -> DutyId {
         DutyId { kind: self.plans.probe.kind, subject: Subject::Node(node) }
     }
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -123,6 +123,16 @@
         self.me.state == State::Up && self.displaced.is_none()
     }
 
+    /// In bytes, without what an allocator adds.
+    pub fn state_bytes(&self) -> usize {
+        let names: usize = self.peers.keys().map(|name| 2 * name.as_str().len()).sum();
+        names
+            + self.peers.len() * size_of::<(PeerName, Peer)>()
+            + self.turn.len() * size_of::<PeerName>()
+            + self.pings.len() * size_of::<(PingNo, Ping)>()
+            + self.errands.len() * size_of::<(PingNo, Errand)>()
+    }
+
     /// All peers, whatever their state.
     pub fn peers(&self) -> impl Iterator<Item = &Card> {
         self.peers.values().map(|peer| &peer.card)
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -72,6 +72,13 @@
         Some(job)
     }
 
+    /// In bytes, without what an allocator adds.
+    pub fn state_bytes(&self) -> usize {
+        self.jobs.len() * size_of::<(J, Job)>()
+            + self.due.len() * size_of::<(Duration, J)>()
+            + self.ready.len() * size_of::<(Priority, Duration, J)>()
+    }
+
     pub fn len(&self) -> usize {
         self.jobs.len()
     }
