The feed on sockets: a control instance publishes, a router subscribes

Publication and Subscription are owners of a socket each, in the manner of Peers, and decide nothing. A control instance's publisher sees what it finds by itself and what its fleet tells it, in one place (instance.rs). A router with a subscribe section asks the feed whether it may probe, and its module is told lazily: a group's databases right before an RPC of the group, and while RPCs of the group are held when a digest comes; once a digest and database at most, and nothing that is no newer than what was told before. What changes by name is told at once.

ties.rs holds all that ties a process to others; serve and signals know it alone. Off without the sections. The module gains a look-up, the nodes of a group.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,13 +4,21 @@
 //! these in a process have no clients and no statements, and serve measurements. It decides nothing and knows nothing
 //! of clients.
 
+pub mod alarm;
 pub mod around;
+pub mod feed;
 pub mod part;
 pub mod peers;
+pub mod post;
+pub mod publisher;
 pub mod seldom;
+pub mod subscriber;
 pub mod wire;
 
 pub use around::Around;
+pub use feed::{PublisherPart, SubscriberPart};
 pub use part::Part;
 pub use peers::{Counts, Peers};
+pub use publisher::Publication;
+pub use subscriber::Subscription;
 pub use wire::{Traffic, Wire};
--- /dev/null
+++ b/crates/control/src/publisher.rs
@@ -0,0 +1,145 @@
+//! A control instance's end of the feed on a socket: its one owner, its datagrams and its clock. Decides nothing:
+//! `quillpoint_feed::Publisher` does.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use quillpoint_datagram::Opener;
+use quillpoint_feed::{Envelope, Publisher};
+use quillpoint_fleet::{Evidence, Incarnation, PeerName};
+
+use crate::around::Around;
+use crate::feed::{COUNTS_EVERY, Desk, Hand, NAMES, PublisherPart, Wish, tell};
+use crate::post::{Passed, Post};
+use crate::seldom::Seldom;
+use crate::wire::{Traffic, Wire};
+
+/// Windows against what was sent before are kept of so many times as many routers as may subscribe: those that have
+/// started anew, and those that turned to another, leave theirs behind.
+const WINDOWS: usize = 2;
+
+pub struct Publication {
+    around: Rc<dyn Around>,
+    name: PeerName,
+    start: Incarnation,
+    publisher: RefCell<Publisher<Hand>>,
+    desk: Rc<Desk>,
+    post: Post<Envelope>,
+    often: Seldom,
+}
+
+impl Publication {
+    /// Opens the socket. Routers may subscribe from then on.
+    ///
+    /// # Errors
+    /// The address cannot be had.
+    pub fn new(part: PublisherPart, around: Rc<dyn Around>, seed: u64) -> io::Result<Rc<Self>> {
+        let PublisherPart { name, listen, keys, plan, letters } = part;
+        let wire = Wire::bind(listen, Rc::clone(&around), letters)?;
+        let opener = Opener::of(plan.most_subscribers.saturating_mul(WINDOWS));
+        let post = Post::new(wire, keys, opener, NAMES);
+        let (now, desk) = (around.now(), Rc::new(Desk::default()));
+        let publisher = Publisher::new(Hand(Rc::clone(&desk)), plan, seed, now);
+        let (publisher, start) = (RefCell::new(publisher), Incarnation(now.as_micros() as u64));
+        Ok(Rc::new(Self { around, name, start, publisher, desk, post, often: Seldom::default() }))
+    }
+
+    /// The one way to the publisher. What it asks for is done when the call is over.
+    fn call<T>(&self, what: impl FnOnce(&mut Publisher<Hand>, Duration) -> T) -> T {
+        let told = what(&mut self.publisher.borrow_mut(), self.around.now());
+        for wish in self.desk.take() {
+            match wish {
+                Wish::Send { to, session, message } => {
+                    let envelope = Envelope { from: self.name.clone(), start: self.start, message };
+                    self.post.send(to, session, &envelope);
+                }
+                // Said to routers alone.
+                Wish::Learnt(_) => {}
+                Wish::Tell(event) => tell(&event, &self.often),
+            }
+        }
+        told
+    }
+
+    /// Takes what routers say as long as the process runs.
+    pub async fn listen(self: Rc<Self>) {
+        let take = |from: SocketAddr, envelope: Envelope| {
+            let Envelope { from: who, start, message } = envelope;
+            self.call(|publisher, now| publisher.message_arrived(now, from, &who, start, message));
+        };
+        self.post.listen(|| self.start, take).await;
+    }
+
+    /// The publisher's one timer.
+    pub async fn keep_time(self: Rc<Self>) {
+        let mut counted = Instant::now();
+        loop {
+            self.desk.alarm.due().await;
+            self.call(|publisher, now| publisher.timer_fired(now));
+            if counted.elapsed() >= COUNTS_EVERY {
+                counted = Instant::now();
+                self.tell_counts();
+            }
+        }
+    }
+
+    fn tell_counts(&self) {
+        let Passed { traffic, taken, refused } = self.post.passed();
+        let Traffic { sent, sent_bytes, read, read_bytes } = traffic;
+        let subscribers = self.subscribers();
+        let kinds: Vec<String> = refused.iter().map(|(kind, count)| format!("{kind:?}:{count}")).collect();
+        log::info!(
+            event = "feed_counts", sent, sent_bytes, taken, read, read_bytes, subscribers,
+            refused = kinds.join(",");
+            "datagrams to and from routers since the start"
+        );
+    }
+
+    /// This control instance has seen this, or another of its fleet, as far as that may be believed.
+    pub fn seen(&self, evidence: Evidence) {
+        self.call(|publisher, now| publisher.seen(now, evidence));
+    }
+
+    /// The list of databases has changed.
+    pub fn listed(&self) {
+        let nodes = self.around.nodes().into_keys().collect();
+        self.call(|publisher, now| publisher.nodes_changed(now, &nodes));
+    }
+
+    /// So many control instances divide the probing by now.
+    pub fn instances_changed(&self, instances: usize) {
+        self.call(|publisher, _| publisher.instances_changed(instances));
+    }
+
+    /// What holds at once of a configuration that was read anew.
+    pub fn reload(&self, part: &PublisherPart) {
+        self.post.keys_changed(&part.keys);
+        self.tell_counts();
+    }
+
+    /// Says goodbye to all routers.
+    pub fn leave(&self) {
+        self.call(|publisher, now| publisher.leave(now));
+        self.tell_counts();
+        log::info!(event = "feed_left"; "the routers are told that it ends");
+    }
+
+    /// Where routers reach it.
+    ///
+    /// # Errors
+    /// The system does not say.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.post.wire().local_addr()
+    }
+
+    pub fn passed(&self) -> Passed {
+        self.post.passed()
+    }
+
+    pub fn subscribers(&self) -> usize {
+        self.publisher.borrow().subscribers()
+    }
+}
--- a/crates/datagram/tests/envelopes.rs
+++ b/crates/datagram/tests/envelopes.rs
@@ -9,7 +9,7 @@
 use quillpoint_feed::message::{
     CHANGES_ALONG, CLASSES, Chunk, DigestNo, ENTRIES_ALONG, LagClass, PARTS, PartId, Revision,
 };
-use quillpoint_feed::{Change, Digest, Entry, Envelope, Message, Standing};
+use quillpoint_feed::{Change, Digest, Entry, Envelope, Message, Standing, size};
 use quillpoint_fleet::ids::LONGEST_NAME;
 use quillpoint_fleet::{Body, Card, Incarnation, Letter, Life, PeerName, State};
 
@@ -59,19 +59,30 @@
 #[test]
 fn the_largest_envelopes_fit_a_datagram() {
     let name = "n".repeat(LONGEST_NAME);
-    let node: SocketAddr = "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap();
-    let entry = Entry { node, primary: Some(true), started: LONG_AGO, standing: Standing::Seen(LagClass(7)) };
-    let chunk = Chunk {
-        part: PartId(63),
-        revision: Revision(u32::MAX),
-        place: u16::MAX,
-        of: u16::MAX,
-        entries: vec![entry; ENTRIES_ALONG],
-    };
-    let pull = (0..PARTS as u8).map(PartId).collect();
-    for message in [digest(CHANGES_ALONG), Message::Chunk(chunk), Message::Pull(pull)] {
-        let sealed = Sealer::default().seal(&keys("a"), Some(OWN), &envelope(&name, u64::MAX, message));
-        assert!(sealed.as_ref().is_ok_and(|bytes| bytes.len() <= LONGEST), "{:?}", sealed.err());
+    // As much as is reckoned to go along, of addresses of either length.
+    for node in ["[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535", "255.255.255.255:65535", "1.1.1.1:1"] {
+        let node: SocketAddr = node.parse().unwrap();
+        for started in [None, LONG_AGO] {
+            let standing = Standing::Seen(LagClass(7));
+            let entry = Entry { node, primary: Some(true), started, standing };
+            let entries = (size::ROOM / size::entry(&entry)).min(ENTRIES_ALONG);
+            let (part, revision) = (PartId(63), Revision(u32::MAX));
+            let chunk = Chunk { part, revision, place: 126, of: 127, entries: vec![entry; entries] };
+            let change = Change { revision, node, entry: Some((Some(true), started, standing)) };
+            let Message::Digest(mut digest) = digest(0) else { unreachable!() };
+            while size::digest(&digest) + size::change(&change) <= size::ROOM
+                && digest.changes.len() < CHANGES_ALONG
+            {
+                digest.changes.push(change);
+            }
+            assert!(digest.changes.len() > 10 && entries > 25, "{} {entries}", digest.changes.len());
+            let pull = Message::Pull((0..PARTS as u8).map(PartId).collect());
+            for message in [Message::Digest(digest), Message::Chunk(chunk), pull] {
+                let sealed =
+                    Sealer::default().seal(&keys("a"), Some(OWN), &envelope(&name, u64::MAX, message));
+                assert!(sealed.as_ref().is_ok_and(|bytes| bytes.len() <= LONGEST), "{:?}", sealed.err());
+            }
+        }
     }
 }
 
--- a/crates/router/src/briefing.rs
+++ b/crates/router/src/briefing.rs
@@ -3,11 +3,10 @@
 use std::path::{Path, PathBuf};
 
 use quillpoint_conf::{Conf, Fault as Line};
-use quillpoint_control::Part;
 
 use crate::config::Launch;
 use crate::deployment::Fault;
-use crate::part::{self, BadPart};
+use crate::part::{BadPart, Parts};
 
 /// Why a router cannot be started, or does not take over what it is told anew.
 #[derive(Debug, thiserror::Error)]
@@ -37,8 +36,8 @@
     pub launch: Launch,
     /// Nothing, where there is no quillpoint.conf.
     pub conf: Option<Conf>,
-    /// What this router does for its fleet, where it is in one.
-    pub part: Option<Part>,
+    /// What ties it to others.
+    pub parts: Parts,
 }
 
 /// quillpoint.conf alone, which says how to log before anything else is read.
@@ -71,8 +70,8 @@
     }
 
     fn of(launch: Launch, conf: Option<Conf>) -> Result<Self, Refusal> {
-        let part = conf.as_ref().map(|conf| part::of(conf, &launch)).transpose()?.flatten();
-        Ok(Self { launch, conf, part })
+        let parts = conf.as_ref().map(|conf| Parts::of(conf, &launch)).transpose()?.unwrap_or_default();
+        Ok(Self { launch, conf, parts })
     }
 
     /// What differs in the other and waits for a restart.
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -73,7 +73,7 @@
         if let Some(conf) = &briefing.conf {
             print!("{}", conf.written());
         }
-        if let Some(part) = &briefing.part {
+        if let Some(part) = &briefing.parts.fleet {
             // What follows from the deployment stands in neither file.
             let span = quillpoint_conf::value::span;
             let plan = &part.plans.probe;
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -5,7 +5,7 @@
 //! module from inside one of its own calls.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,8 +15,8 @@
 use futures_lite::FutureExt;
 use quillpoint::Router;
 use quillpoint::host::{
-    CallEnd, CallNo, Extent, Host, Listed, MethodId, NodeId, Outcome, PeerWord, Report, Role, Rpc, RpcId,
-    ZoneId,
+    CallEnd, CallNo, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, PeerWord, Report, Role, Rpc,
+    RpcId, ZoneId,
 };
 
 use crate::deployment::Deployment;
@@ -92,6 +92,11 @@
     fn listed(&self);
     /// Whether a probe that the module asks for is to be made here, or left to another router.
     fn may_probe(&self, node: NodeId) -> bool;
+    /// What others have told of a node, where that is newer than what this has said before. Asked for where there is
+    /// use for it, as what is told of all nodes may come often.
+    fn news_of(&self, _node: NodeId) -> Option<PeerWord> {
+        None
+    }
 }
 
 /// What a node's answer told.
@@ -105,6 +110,7 @@
 
 struct Live {
     mailbox: Sender<Order>,
+    group: GroupId,
     deadline: Duration,
     attempts: u32,
     last: Option<Outcome>,
@@ -314,6 +320,21 @@
         self.tell(|router, now| router.peer_told(now, word));
     }
 
+    /// What others have told of a group's nodes is told to the module where RPCs come for the group.
+    fn catch_up(&self, group: GroupId) {
+        let Some(sharing) = self.sharing.get() else { return };
+        let nodes: Vec<NodeId> = self.router.borrow().nodes_of(group).collect();
+        for word in nodes.into_iter().filter_map(|node| sharing.news_of(node)) {
+            self.peer_told(word);
+        }
+    }
+
+    /// Others have told something new: it may let go what is held.
+    pub fn catch_up_held(&self) {
+        let held: BTreeSet<GroupId> = self.desk.live.borrow().values().map(|live| live.group).collect();
+        held.into_iter().for_each(|group| self.catch_up(group));
+    }
+
     /// A probe that is this router's duty. False if one is out there already.
     pub fn probe_in_turn(&self, node: NodeId) -> bool {
         let goes = self.router.borrow_mut().probe_in_turn(node);
@@ -380,13 +401,15 @@
         let known = &self.methods[method.0];
         let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
         let remaining = statement.wait.min(known.deadline).min(left);
-        let live = Live { mailbox, deadline: now + remaining, attempts: 0, last: None };
+        let group = statement.group;
+        self.catch_up(group);
+        let live = Live { mailbox, group, deadline: now + remaining, attempts: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
             id,
             method,
             session: statement.session.filter(|_| known.has_sessions),
-            group: statement.group,
+            group,
             remaining,
             work: None,
             since_write: statement.after.map(|at| now.saturating_sub(at)),
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -27,6 +27,17 @@
     "fleet_keys",
     "fleet_left",
     "fleet_counts",
+    "feed_following",
+    "feed_lost",
+    "feed_alone",
+    "feed_not_alone",
+    "feed_too_many",
+    "feed_subscribers",
+    "feed_refused",
+    "feed_unsent",
+    "feed_keys",
+    "feed_left",
+    "feed_counts",
 ];
 
 /// Whose lines these are: the router's name, and its start in microseconds of Unix time. Reports join the lines of
--- /dev/null
+++ b/crates/router/src/instance.rs
@@ -0,0 +1,106 @@
+//! A control instance: what it finds by itself and what its fleet tells it are seen by its publisher, here alone.
+
+use std::cell::OnceCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use quillpoint::host::NodeId;
+use quillpoint_control::{Around, Peers, Publication};
+use quillpoint_feed::Word;
+use quillpoint_fleet::{Evidence, News};
+
+use crate::engine::{Engine, Finding, Sharing};
+use crate::peers;
+
+/// How often the members of the fleet are counted.
+const COUNTED_EVERY: Duration = Duration::from_secs(1);
+
+pub struct Instance {
+    engine: Rc<Engine>,
+    publication: Rc<Publication>,
+    /// Set once, right after it was made: either needs the other.
+    peers: OnceCell<Rc<Peers>>,
+}
+
+impl Instance {
+    pub fn new(engine: Rc<Engine>, publication: Rc<Publication>) -> Rc<Self> {
+        Rc::new(Self { engine, publication, peers: OnceCell::new() })
+    }
+
+    /// Its part in the fleet of control instances.
+    pub fn takes_part(&self, peers: Rc<Peers>) {
+        _ = self.peers.set(peers);
+    }
+
+    fn seen(&self, evidence: Evidence) {
+        self.publication.seen(evidence);
+    }
+
+    /// Counts the members of its fleet as long as the process runs.
+    pub async fn count(self: Rc<Self>) {
+        loop {
+            if let Some(peers) = self.peers.get() {
+                let fleet = peers.fleet();
+                let others = fleet.members().peers().filter(|card| card.state.is_there()).count();
+                self.publication.instances_changed(others + 1);
+            }
+            Timer::after(COUNTED_EVERY).await;
+        }
+    }
+}
+
+impl Around for Instance {
+    fn now(&self) -> Duration {
+        Around::now(&*self.engine)
+    }
+
+    fn nodes(&self) -> BTreeMap<SocketAddr, u16> {
+        Around::nodes(&*self.engine)
+    }
+
+    fn hear(&self, evidence: Evidence) {
+        self.seen(evidence);
+        self.engine.hear(evidence);
+    }
+
+    fn learnt(&self, word: Word) {
+        self.engine.learnt(word);
+    }
+
+    fn probe(&self, node: SocketAddr) -> bool {
+        self.engine.probe(node)
+    }
+
+    fn is_shut(&self, node: SocketAddr) -> bool {
+        Around::is_shut(&*self.engine, node)
+    }
+}
+
+impl Sharing for Instance {
+    fn found(&self, finding: Finding) {
+        let News { node, position, primary, waiting, started, failed, .. } = peers::news(&finding);
+        // A failure counts when several have failed by themselves: the fleet says so. What was asked for at a moment
+        // may have been read then, and no later.
+        if !failed {
+            let at = finding.asked;
+            self.seen(Evidence { node, at, position, primary, waiting, started, failed });
+        }
+        if let Some(peers) = self.peers.get() {
+            Sharing::found(&**peers, finding);
+        }
+    }
+
+    fn listed(&self) {
+        self.publication.listed();
+        if let Some(peers) = self.peers.get() {
+            peers.listed();
+        }
+    }
+
+    fn may_probe(&self, node: NodeId) -> bool {
+        self.peers.get().is_none_or(|peers| peers.may_probe(node.0))
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 pub mod engine;
 pub mod events;
+pub mod instance;
 pub mod list;
 pub mod open_ids;
 pub mod part;
@@ -25,5 +26,6 @@
 pub mod serve;
 pub mod signals;
 pub mod statement;
+pub mod ties;
 
 pub use quillpoint_control::seldom;
--- a/crates/router/src/part.rs
+++ b/crates/router/src/part.rs
@@ -1,12 +1,14 @@
-//! A router's part in its fleet, as quillpoint.conf says it.
+//! A process's part in its fleet and its end of the feed, as quillpoint.conf says it.
 
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use quillpoint_conf::Conf;
-use quillpoint_control::Part;
+use quillpoint_control::{Part, PublisherPart, SubscriberPart};
 use quillpoint_datagram::keys::{BadKeys, Keyring};
+use quillpoint_feed::{Control, publisher, subscriber};
 use quillpoint_fleet::PeerName;
 use quillpoint_fleet::Plans;
 use quillpoint_fleet::duties::Plan;
@@ -17,36 +19,59 @@
 
 /// How often nodes are probed where no bound on the age of reads asks for more.
 const UNBOUND: Duration = Duration::from_millis(500);
+/// The time between two digests of a control instance.
+const DIGESTS: Duration = Duration::from_millis(100);
+/// So many datagrams of the feed are looked at a second: four times what thousands of routers say, or what copies
+/// bring at their largest.
+const LETTERS: u64 = 20_000;
 /// No key file is longer.
 const LONGEST_KEYS: u64 = 64 << 10;
 
 #[derive(Debug, thiserror::Error)]
 pub enum BadPart {
-    #[error("fleet keys {}: {error}", file.display())]
-    Unreadable { file: PathBuf, error: std::io::Error },
-    #[error("fleet keys {}: expected a file that only its owner has rights to (chmod 600), found mode {mode:o}", file.display())]
-    Open { file: PathBuf, mode: u32 },
-    #[error("fleet keys {}: {fault}", file.display())]
-    Keys { file: PathBuf, fault: BadKeys },
+    #[error("{section} keys {}: {error}", file.display())]
+    Unreadable { section: &'static str, file: PathBuf, error: std::io::Error },
+    #[error("{section} keys {}: expected a file that only its owner has rights to (chmod 600), found mode {mode:o}", file.display())]
+    Open { section: &'static str, file: PathBuf, mode: u32 },
+    #[error("{section} keys {}: {fault}", file.display())]
+    Keys { section: &'static str, file: PathBuf, fault: BadKeys },
     #[error("fleet zone: expected one of the deployment's zones ({known}), found {found}")]
     Zone { known: String, found: String },
-    #[error("name: to be in a fleet, {0}")]
+    #[error("name: to be in a fleet, or told by control instances, {0}")]
     Name(#[from] BadName),
+    #[error("control {name}: {fault}")]
+    Control { name: String, fault: BadName },
+    #[error("publish listen: expected another address than the fleet's, found {0} at both")]
+    SameAddress(SocketAddr),
     /// The tables of `quillpoint-conf` see to it that this never comes.
-    #[error("fleet {0}: expected a value")]
-    Missing(&'static str),
+    #[error("{0} {1}: expected a value")]
+    Missing(&'static str, &'static str),
 }
 
-/// Nothing, where the configuration puts the router in no fleet.
-///
-/// # Errors
-/// What is at fault beyond the form of the configuration: the key file, the zone, the router's name.
-pub fn of(conf: &Conf, launch: &Launch) -> Result<Option<Part>, BadPart> {
+/// What ties a process to others; nothing of it where the configuration has no such section.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    pub fleet: Option<Part>,
+    pub publish: Option<PublisherPart>,
+    pub subscribe: Option<SubscriberPart>,
+}
+
+impl Parts {
+    /// # Errors
+    /// What is at fault beyond the form of the configuration: a key file, the zone, a name, an address.
+    pub fn of(conf: &Conf, launch: &Launch) -> Result<Self, BadPart> {
+        let fleet = fleet(conf, launch)?;
+        let publish = fleet.as_ref().map(|part| publish(conf, part)).transpose()?.flatten();
+        Ok(Self { fleet, publish, subscribe: subscribe(conf, launch)? })
+    }
+}
+
+fn fleet(conf: &Conf, launch: &Launch) -> Result<Option<Part>, BadPart> {
     if !conf.has_section("fleet") {
         return Ok(None);
     }
-    let count = |name| conf.count("fleet", "", name).ok_or(BadPart::Missing(name));
-    let listen = conf.address("fleet", "", "listen").ok_or(BadPart::Missing("listen"))?;
+    let count = |name| conf.count("fleet", "", name).ok_or(BadPart::Missing("fleet", name));
+    let listen = conf.address("fleet", "", "listen").ok_or(BadPart::Missing("fleet", "listen"))?;
     let zones = &launch.deployment.zones;
     let zone = match conf.word("fleet", "", "zone") {
         None => 0,
@@ -62,10 +87,10 @@
         advertise: conf.address("fleet", "", "advertise").unwrap_or(listen),
         zone: zone as u16,
         weight: count("weight")? as u8,
-        keys: keys(conf.path("fleet", "", "keys").ok_or(BadPart::Missing("keys"))?)?,
+        keys: keys(conf, "fleet")?,
         seeds: conf.titles("peer").filter_map(|peer| conf.address("peer", peer, "address")).collect(),
         plans: Plans {
-            probe: plan(conf, "probe", KindId(0), launch.deployment.tightest.map_or(UNBOUND, |at| at / 2))?,
+            probe: plan(conf, "probe", KindId(0), usual(launch))?,
             work_rate: rate,
             // A tenth of a second's work may come at once.
             work_burst: (rate / 10.0).max(1.0),
@@ -75,32 +100,90 @@
     }))
 }
 
+/// A control instance's end of the feed; its fleet's plan says how often databases are probed.
+fn publish(conf: &Conf, fleet: &Part) -> Result<Option<PublisherPart>, BadPart> {
+    if !conf.has_section("publish") {
+        return Ok(None);
+    }
+    let count = |name| conf.count("publish", "", name).ok_or(BadPart::Missing("publish", name));
+    let listen = conf.address("publish", "", "listen").ok_or(BadPart::Missing("publish", "listen"))?;
+    if listen == fleet.listen && listen.port() != 0 {
+        return Err(BadPart::SameAddress(listen));
+    }
+    Ok(Some(PublisherPart {
+        name: fleet.name.clone(),
+        listen,
+        keys: keys(conf, "publish")?,
+        plan: publisher::Plan {
+            period: fleet.plans.probe.period,
+            every: DIGESTS,
+            copy_rate: count("copy-budget")? as f64,
+            most_subscribers: count("subscribers")? as usize,
+        },
+        letters: LETTERS,
+    }))
+}
+
+/// A router's end of the feed.
+fn subscribe(conf: &Conf, launch: &Launch) -> Result<Option<SubscriberPart>, BadPart> {
+    if !conf.has_section("subscribe") {
+        return Ok(None);
+    }
+    let listen = conf.address("subscribe", "", "listen").ok_or(BadPart::Missing("subscribe", "listen"))?;
+    let control = |name: &str| -> Result<Control, BadPart> {
+        let address =
+            conf.address("control", name, "address").ok_or(BadPart::Missing("control", "address"))?;
+        let region = conf.word("control", name, "region").map(str::to_string);
+        let fault = |fault| BadPart::Control { name: name.to_string(), fault };
+        Ok(Control { name: PeerName::new(name).map_err(fault)?, address, region })
+    };
+    Ok(Some(SubscriberPart {
+        name: PeerName::new(&launch.name)?,
+        listen,
+        keys: keys(conf, "subscribe")?,
+        plan: subscriber::Plan {
+            region: conf.word("subscribe", "", "region").map(str::to_string),
+            every: DIGESTS,
+            period: usual(launch),
+            routers: launch.deployment.values.number("routers").unwrap_or(1.0).max(1.0) as u32,
+        },
+        control: conf.titles("control").map(control).collect::<Result<_, _>>()?,
+        letters: LETTERS,
+    }))
+}
+
+/// How often nodes are probed where the configuration does not say.
+fn usual(launch: &Launch) -> Duration {
+    launch.deployment.tightest.map_or(UNBOUND, |at| at / 2)
+}
+
 /// `usual` is how often it is done where the configuration does not say.
 fn plan(conf: &Conf, title: &str, kind: KindId, usual: Duration) -> Result<Plan, BadPart> {
     let span = |name| conf.span("duty", title, name);
     let period = span("every").unwrap_or(usual);
-    let count = |name| conf.count("duty", title, name).ok_or(BadPart::Missing(name));
+    let count = |name| conf.count("duty", title, name).ok_or(BadPart::Missing("duty", name));
     Ok(Plan {
         kind,
         period,
         grace: span("grace").unwrap_or(period),
         floor: span("floor").unwrap_or(period),
-        longest: span("longest").ok_or(BadPart::Missing("longest"))?,
+        longest: span("longest").ok_or(BadPart::Missing("duty", "longest"))?,
         priority: Priority(count("priority")? as u8),
         cost: count("cost")? as f64,
     })
 }
 
-fn keys(file: &Path) -> Result<Keyring, BadPart> {
-    let unreadable = |error| BadPart::Unreadable { file: file.to_path_buf(), error };
+fn keys(conf: &Conf, section: &'static str) -> Result<Keyring, BadPart> {
+    let file = conf.path(section, "", "keys").ok_or(BadPart::Missing(section, "keys"))?;
+    let unreadable = |error| BadPart::Unreadable { section, file: file.to_path_buf(), error };
     let about = std::fs::metadata(file).map_err(unreadable)?;
     let mode = about.permissions().mode() & 0o777;
     if mode & 0o077 != 0 {
-        return Err(BadPart::Open { file: file.to_path_buf(), mode });
+        return Err(BadPart::Open { section, file: file.to_path_buf(), mode });
     }
     if about.len() > LONGEST_KEYS {
         return Err(unreadable(std::io::Error::other("far too long for a key file")));
     }
     let text = std::fs::read_to_string(file).map_err(unreadable)?;
-    Keyring::parse(&text).map_err(|fault| BadPart::Keys { file: file.to_path_buf(), fault })
+    Keyring::parse(&text).map_err(|fault| BadPart::Keys { section, file: file.to_path_buf(), fault })
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,16 +1,29 @@
-//! A router among its peers: the engine is what stands around the control side, and what it finds is shared there.
+//! The engine as what stands around the control side, and the control side as what shares with others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use quillpoint::host::{NodeId, PeerWord};
-use quillpoint_control::{Around, Peers};
+use quillpoint_control::{Around, Peers, Subscription};
 use quillpoint_feed::Word;
 use quillpoint_fleet::{Evidence, News};
 
 use crate::engine::{Engine, Finding, Sharing};
 
+/// Whoever says it, it is hearsay to the module.
+fn peer_word(word: Word) -> PeerWord {
+    let Word { node, at, position, primary, started, failed } = word;
+    PeerWord { node: NodeId(node), at, position, primary, waiting: None, started, failed }
+}
+
+/// What a router has found out, as its fleet takes it.
+pub(crate) fn news(finding: &Finding) -> News {
+    let Finding { node: NodeId(node), failed, position, primary, waiting, started, .. } = *finding;
+    let waiting = waiting.map(|waiting| waiting.clamp(0.0, f64::from(u32::MAX)) as u32);
+    News { node, age: Duration::ZERO, position, primary, waiting, started, failed }
+}
+
 impl Around for Engine {
     fn now(&self) -> Duration {
         self.clock.now()
@@ -27,9 +40,11 @@
     }
 
     fn learnt(&self, word: Word) {
-        let Word { node, at, position, primary, started, failed } = word;
-        let node = NodeId(node);
-        self.peer_told(PeerWord { node, at, position, primary, waiting: None, started, failed });
+        self.peer_told(peer_word(word));
+    }
+
+    fn refreshed(&self) {
+        self.catch_up_held();
     }
 
     fn probe(&self, node: SocketAddr) -> bool {
@@ -43,13 +58,22 @@
 
 impl Sharing for Peers {
     fn found(&self, finding: Finding) {
-        let Finding { node: NodeId(node), asked, probe, failed, position, primary, waiting, started } =
-            finding;
-        let waiting = waiting.map(|waiting| waiting.clamp(0.0, f64::from(u32::MAX)) as u32);
-        let news = News { node, age: Duration::ZERO, position, primary, waiting, started, failed };
-        self.found(asked, probe, news);
+        self.found(finding.asked, finding.probe, news(&finding));
+    }
+
+    fn listed(&self) {
+        self.listed();
     }
 
+    fn may_probe(&self, node: NodeId) -> bool {
+        self.may_probe(node.0)
+    }
+}
+
+impl Sharing for Subscription {
+    /// Own findings are the module's already, and nobody else's matter: control instances look for themselves.
+    fn found(&self, _finding: Finding) {}
+
     fn listed(&self) {
         self.listed();
     }
@@ -57,4 +81,8 @@
     fn may_probe(&self, node: NodeId) -> bool {
         self.may_probe(node.0)
     }
+
+    fn news_of(&self, node: NodeId) -> Option<PeerWord> {
+        self.news_of(node.0).map(peer_word)
+    }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -6,7 +6,6 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use quillpoint::host::Extent;
-use quillpoint_control::{Around, Peers};
 
 use crate::briefing::{Briefing, Refusal};
 use crate::budget::Accounts;
@@ -14,11 +13,12 @@
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
 use crate::drain;
-use crate::engine::{Engine, Sharing};
+use crate::engine::Engine;
 use crate::events;
 use crate::pool::Pool;
 use crate::report;
 use crate::signals;
+use crate::ties::Ties;
 
 /// Serves until told to stop and drained. On SIGHUP `reread` is called for what holds from then on.
 pub fn serve(
@@ -51,11 +51,7 @@
         launch.seed,
     );
     engine.list_changed(Extent::Remembered, &known);
-    let peers = match &briefing.part {
-        Some(part) => Some(Peers::new(part.clone(), Rc::clone(&engine) as Rc<dyn Around>, launch.seed)?),
-        None => None,
-    };
-    let peers_slot = if peers.is_some() { Some(descriptors.take().await) } else { None };
+    let ties = Rc::new(Ties::open(&briefing.parts, &engine, &descriptors, launch.seed).await?);
     let accounts = Accounts::of(launch.memory);
     executor.spawn(report::each_minute(accounts.clone())).detach();
     let pool = Pool::new(Rc::clone(&executor), Rc::clone(&descriptors), accounts.clone(), deployment);
@@ -65,11 +61,7 @@
     executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
-    if let Some(peers) = &peers {
-        engine.share_with(Rc::clone(peers) as Rc<dyn Sharing>);
-        executor.spawn(Rc::clone(peers).listen()).detach();
-        executor.spawn(Rc::clone(peers).keep_time()).detach();
-    }
+    ties.run(&engine, &executor);
     let timed = Rc::clone(&engine);
     executor.spawn(async move { timed.keep_time().await }).detach();
     let accepting = executor.spawn(Rc::clone(&clients).accept(Rc::clone(&listener)));
@@ -79,13 +71,11 @@
         "{} serves at {address}, {} nodes known", launch.name, known.len()
     );
     let (stop, stopped) = async_channel::bounded(1);
-    executor.spawn(signals::obey(signals, briefing, reread, (moves, peers.clone()), stop)).detach();
+    executor.spawn(signals::obey(signals, briefing, reread, (moves, Rc::clone(&ties)), stop)).detach();
     _ = stopped.recv().await;
     drain::drain(&clients, &engine, listener, accepting).await;
-    if let Some(peers) = &peers {
-        peers.leave();
-    }
-    drop((listener_slot, peers_slot));
+    ties.leave();
+    drop(listener_slot);
     report::tell(&accounts);
     log::info!(event = "drained"; "drained");
     Ok(())
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -6,9 +6,9 @@
 use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use quillpoint_control::Peers;
 
 use crate::briefing::{Briefing, Refusal};
+use crate::ties::Ties;
 
 /// From here on none of these ends the process by itself.
 pub fn caught() -> std::io::Result<Signals> {
@@ -20,12 +20,12 @@
     mut signals: Signals,
     mut briefing: Briefing,
     reread: impl Fn() -> Result<Briefing, Refusal>,
-    (moves, peers): (Sender<SocketAddr>, Option<Rc<Peers>>),
+    (moves, ties): (Sender<SocketAddr>, Rc<Ties>),
     stop: Sender<()>,
 ) {
     while let Some(signal) = signals.next().await {
         match signal {
-            Ok(Signal::Hup) => reload(&mut briefing, reread(), &moves, peers.as_deref()),
+            Ok(Signal::Hup) => reload(&mut briefing, reread(), &moves, &ties),
             Ok(_) => {
                 // Later ones change nothing.
                 if stop.close() {
@@ -37,14 +37,9 @@
     }
 }
 
-/// Takes over where discovery is, and where peers are and by which keys they speak. All else that differs shapes
+/// Takes over where discovery is, and where peers and control instances are and by which keys they speak. All else that differs shapes
 /// what stands by now, and waits for a restart.
-fn reload(
-    briefing: &mut Briefing,
-    told: Result<Briefing, Refusal>,
-    moves: &Sender<SocketAddr>,
-    peers: Option<&Peers>,
-) {
+fn reload(briefing: &mut Briefing, told: Result<Briefing, Refusal>, moves: &Sender<SocketAddr>, ties: &Ties) {
     let told = match told {
         Ok(told) => told,
         Err(fault) => return log::warn!("configuration not taken over: {fault}"),
@@ -52,9 +47,7 @@
     for key in briefing.held_back(&told) {
         log::warn!("configuration: {key} has changed, which holds from the next start on");
     }
-    if let Some((peers, part)) = peers.zip(told.part.as_ref()) {
-        peers.reload(part);
-    }
+    ties.reload(&told.parts);
     let discovery = told.launch.discovery;
     log::info!("configuration read anew, discovery at {discovery}");
     if discovery != briefing.launch.discovery {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,7 +79,7 @@
     values: ValueMap,
     methods: Vec<Method>,
     pub(crate) members: BTreeMap<NodeId, Member>,
-    groups: BTreeMap<GroupId, Group>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
     held: BTreeMap<RpcId, Held>,
     due: BTreeSet<(Duration, RpcId)>,
     tokens: BTreeMap<(GroupId, SessionKey), Duration>, // commits of the sessions that wrote through here
--- a/src/look.rs
+++ b/src/look.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::host::{Host, NodeId, ZoneId};
+use crate::host::{GroupId, Host, NodeId, ZoneId};
 use crate::logic::Router;
 
 impl<H: Host> Router<H> {
@@ -20,4 +20,9 @@
     pub fn nodes(&self) -> impl Iterator<Item = (NodeId, ZoneId)> {
         self.members.iter().filter(|(_, member)| !member.gone).map(|(node, member)| (*node, member.zone))
     }
+
+    /// The nodes of a group; none of one that is not known.
+    pub fn nodes_of(&self, group: GroupId) -> impl Iterator<Item = NodeId> {
+        self.groups.get(&group).into_iter().flat_map(|group| group.members.iter().copied())
+    }
 }
