--- a/crates/rig/src/store.rs
+++ b/crates/rig/src/store.rs
@@ -33,6 +33,8 @@
     up: AtomicBool,
     /// How long a probe waits for its answer, in milliseconds.
     slow_ms: AtomicU64,
+    /// By how much a probe's answer says that the log is further than it is, in milliseconds.
+    boast_ms: AtomicU64,
 }
 
 /// One node.
@@ -88,6 +90,7 @@
             books: Mutex::default(),
             up: AtomicBool::new(true),
             slow_ms: AtomicU64::new(0),
+            boast_ms: AtomicU64::new(0),
         });
         let node = Self { address: listener.local_addr()?, primary, lag, inner, ledger };
         let served = node.clone();
@@ -109,6 +112,11 @@
         self.inner.slow_ms.store(by.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// From now on what probes are told of the log is so much further than it is; other answers tell the truth.
+    pub fn boast(&self, by: Duration) {
+        self.inner.boast_ms.store(by.as_millis() as u64, Ordering::SeqCst);
+    }
+
     fn is_up(&self) -> bool {
         self.inner.up.load(Ordering::SeqCst)
     }
@@ -182,12 +190,14 @@
     /// The whole answer to a query, which is entered in the books.
     fn answer(&self, text: &str) -> Vec<u8> {
         let (at, mut out) = (now(), Vec::new());
-        let load = format!("x0={:.6},x1={}", self.position().as_secs_f64(), u8::from(self.primary));
+        let load =
+            |position: Duration| format!("x0={:.6},x1={}", position.as_secs_f64(), u8::from(self.primary));
         let mut books = self.books();
         if text == "SHOW load" {
             books.probes.push(at);
             books.contacts.push(at);
-            pg::put_answer(&mut out, &row(load.as_bytes()));
+            let boast = Duration::from_millis(self.inner.boast_ms.load(Ordering::SeqCst));
+            pg::put_answer(&mut out, &row(load(self.position() + boast).as_bytes()));
             pg::put_ready(&mut out);
             return out;
         }
@@ -199,18 +209,20 @@
         } else {
             // A read that no bound allows here counts against the router that sent it.
             let bounded = text.contains("c=recent,");
-            books.stale += u64::from(bounded && self.position() + BOUND + ALLOWED < at);
+            let stale = bounded && self.position() + BOUND + ALLOWED < at;
+            books.stale += u64::from(stale);
             drop(books);
             if text.contains("INSERT")
                 && let Some(id) = word(text, "id=")
             {
                 *held(&self.ledger).entry(id.to_string()).or_default() += 1;
             }
-            pg::put_answer(&mut out, &row(b"v"));
+            // Whoever gets it can tell.
+            pg::put_answer(&mut out, &row(if stale { b"stale" } else { b"v" }));
         }
         parameter(&mut out, "role", if self.primary { "primary" } else { "replica" });
         parameter(&mut out, "applied_ms", &self.position().as_millis().to_string());
-        parameter(&mut out, "load", &load);
+        parameter(&mut out, "load", &load(self.position()));
         pg::put_ready(&mut out);
         out
     }
