--- a/crates/conf/tests/conf.rs
+++ b/crates/conf/tests/conf.rs
@@ -221,6 +221,20 @@
     assert_eq!(page, page::reference(), "print it anew: quillpoint reference > docs/operators/conf.md");
 }
 
+#[test]
+fn the_examples_are_in_order_and_say_what_differs_between_their_kinds() {
+    let read = |name: &str| {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(name);
+        quillpoint_conf::read(&path).unwrap_or_else(|faults| panic!("{name}: {faults:?}"))
+    };
+    let (member, control, router) = (read("fleet.conf"), read("feed-control.conf"), read("feed-router.conf"));
+    assert!(member.has_section("fleet") && !member.has_section("publish"));
+    assert!(control.has_section("fleet") && control.has_section("publish"));
+    assert!(router.has_section("subscribe") && !router.has_section("fleet"));
+    assert_eq!(router.address("control", "c1", "address"), control.address("publish", "", "listen"));
+    assert_ne!(control.address("publish", "", "listen"), control.address("fleet", "", "listen"));
+}
+
 #[test]
 fn no_text_makes_it_panic_and_faults_stay_within_a_bound() {
     fn any(text: String) -> bool {
