--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -11,16 +11,16 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use quillpoint_datagram::keys::Keyring;
-use quillpoint_datagram::{LONGEST, Opener, Refusal, Sealer};
+use quillpoint_datagram::{Opener, Refusal};
 use quillpoint_fleet::ids::{DutyId, Subject};
 use quillpoint_fleet::{Card, Event, Evidence, Fleet, Host, Incarnation, Letter, Life, News, State};
 
 use crate::around::Around;
 use crate::part::Part;
-use crate::seldom::Seldom;
+use crate::post::{Names, Passed, Post};
 use crate::wire::{Traffic, Wire};
 
+const NAMES: Names = Names { refused: "fleet_refused", unsent: "fleet_unsent", keys: "fleet_keys" };
 /// How often the counts are logged.
 const COUNTS_EVERY: Duration = Duration::from_secs(60);
 
@@ -74,13 +74,9 @@
     around: Rc<dyn Around>,
     fleet: RefCell<Fleet<Hand>>,
     desk: Rc<Desk>,
-    wire: Wire,
-    keys: RefCell<Keyring>,
-    sealer: RefCell<Sealer>,
-    opener: RefCell<Opener>,
-    counts: RefCell<Counts>,
-    told_refused: Seldom,
-    told_unsent: Seldom,
+    post: Post<Letter>,
+    probes: Cell<u64>,
+    spared: Cell<u64>,
 }
 
 impl Peers {
@@ -97,18 +93,15 @@
         let me = Card { name, life, address, zone, weight, state: State::Joining };
         // A port that the system chooses is known only now.
         let me = if address.port() == 0 { Card { address: wire.local_addr()?, ..me } } else { me };
+        let post = Post::new(wire, part.keys, Opener::default(), NAMES);
         let fleet = Fleet::new(Hand(Rc::clone(&desk)), me, part.seeds, part.plans, seed, now);
         Ok(Rc::new(Self {
             around,
             fleet: RefCell::new(fleet),
             desk,
-            wire,
-            keys: RefCell::new(part.keys),
-            sealer: RefCell::default(),
-            opener: RefCell::default(),
-            counts: RefCell::default(),
-            told_refused: Seldom::default(),
-            told_unsent: Seldom::default(),
+            post,
+            probes: Cell::new(0),
+            spared: Cell::new(0),
         }))
     }
 
@@ -126,7 +119,7 @@
 
     fn fulfil(&self, wish: Wish) {
         match wish {
-            Wish::Send { to, session, letter } => self.send(to, session, &letter),
+            Wish::Send { to, session, letter } => self.post.send(to, session, &letter),
             Wish::Perform(duty) => self.perform(duty),
             Wish::Hear(evidence) => self.around.hear(evidence),
             Wish::Tell(event) => tell(&event),
@@ -134,7 +127,7 @@
     }
 
     fn perform(&self, duty: DutyId) {
-        self.counts.borrow_mut().probes += 1;
+        self.probes.set(self.probes.get() + 1);
         let goes = match duty.subject {
             Subject::Node(node) => self.around.probe(node),
             Subject::Installation => false,
@@ -145,46 +138,13 @@
         }
     }
 
-    /// A datagram that cannot be sent at once is lost: all that is said is said again.
-    fn send(&self, to: SocketAddr, session: Option<Incarnation>, letter: &Letter) {
-        let sealed = self.sealer.borrow_mut().seal(&self.keys.borrow(), session, letter);
-        let sent = match &sealed {
-            Ok(bytes) => self.wire.send(bytes, to).map_err(|error| error.to_string()),
-            Err(error) => Err(error.to_string()),
-        };
-        match sent {
-            Err(error) if self.told_unsent.is_due() => {
-                log::warn!(event = "fleet_unsent", to:% = to, error; "a letter could not be sent");
-            }
-            _ => {}
-        }
-    }
-
     /// Takes letters as long as the process runs.
     pub async fn listen(self: Rc<Self>) {
-        let mut bytes = [0; LONGEST + 1];
-        loop {
-            let (length, _) = self.wire.read(&mut bytes).await;
-            self.arrived(&bytes[..length]);
-        }
-    }
-
-    fn arrived(&self, bytes: &[u8]) {
-        let own = self.fleet.borrow().members().me().life.incarnation;
-        let opened = self.opener.borrow_mut().open(&self.keys.borrow(), own, bytes);
-        match opened {
-            Ok(letter) => {
-                self.counts.borrow_mut().taken += 1;
-                self.call(|fleet, now| fleet.letter_arrived(now, letter));
-            }
-            Err(refusal) => {
-                *self.counts.borrow_mut().refused.entry(refusal).or_default() += 1;
-                if self.told_refused.is_due() {
-                    let kind = format!("{refusal:?}");
-                    log::warn!(event = "fleet_refused", kind; "a datagram was not taken: {refusal}");
-                }
-            }
-        }
+        let own = || self.fleet.borrow().members().me().life.incarnation;
+        let take = |_: SocketAddr, letter: Letter| {
+            self.call(|fleet, now| fleet.letter_arrived(now, letter));
+        };
+        self.post.listen(own, take).await;
     }
 
     /// The fleet's one timer.
@@ -214,11 +174,7 @@
 
     /// What holds at once of a configuration that was read anew.
     pub fn reload(&self, part: &Part) {
-        if *self.keys.borrow() != part.keys {
-            *self.keys.borrow_mut() = part.keys.clone();
-            let ids: Vec<String> = part.keys.ids().map(|id| id.to_string()).collect();
-            log::info!(event = "fleet_keys", keys = ids.join(","); "keys taken over");
-        }
+        self.post.keys_changed(&part.keys);
         self.call(|fleet, now| fleet.seeds_changed(now, part.seeds.clone()));
         self.tell_counts();
     }
@@ -251,13 +207,18 @@
     pub fn may_probe(&self, node: SocketAddr) -> bool {
         let alone = self.around.is_shut(node);
         let may = self.call(|fleet, now| fleet.claim_probe(now, node, alone));
-        let mut counts = self.counts.borrow_mut();
-        *(if may { &mut counts.probes } else { &mut counts.spared }) += 1;
+        let count = if may { &self.probes } else { &self.spared };
+        count.set(count.get() + 1);
         may
     }
 
+    pub fn traffic(&self) -> Traffic {
+        self.post.traffic()
+    }
+
     pub fn counts(&self) -> Counts {
-        Counts { traffic: self.wire.traffic(), ..self.counts.borrow().clone() }
+        let Passed { traffic, taken, refused } = self.post.passed();
+        Counts { traffic, taken, probes: self.probes.get(), spared: self.spared.get(), refused }
     }
 
     /// For whoever looks on: nothing is changed by it.
--- a/crates/control/src/post.rs
+++ b/crates/control/src/post.rs
@@ -56,6 +56,10 @@
         &self.wire
     }
 
+    pub fn traffic(&self) -> Traffic {
+        self.wire.traffic()
+    }
+
     pub fn passed(&self) -> Passed {
         Passed { traffic: self.wire.traffic(), ..self.passed.borrow().clone() }
     }
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -135,6 +135,10 @@
         self.post.wire().local_addr()
     }
 
+    pub fn traffic(&self) -> Traffic {
+        self.post.traffic()
+    }
+
     pub fn passed(&self) -> Passed {
         self.post.passed()
     }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -172,6 +172,10 @@
         log::info!(event = "feed_left"; "no control instance is followed any more");
     }
 
+    pub fn traffic(&self) -> Traffic {
+        self.post.traffic()
+    }
+
     pub fn counts(&self) -> Counts {
         Counts { passed: self.post.passed(), probes: self.probes.get(), spared: self.spared.get() }
     }
