Fits of a scale run's figures over its sizes, checked against the largest

The form is chosen by the fitted points alone: each is left out in turn and predicted from the others, and a slope must take a fifth off a constant's error. The largest size is predicted, and an error over 0.20 makes the form unusable. Routers times databases is weighed against a line only with the points of both axes at hand.

measure/fit writes the fits into a record, or draws them with the lab's plotter, which rig now takes from quillpoint-lab. The lab's own runs are read as simulated: runs without a process. A record's fit is a struct of its own, Fit.

--- /dev/null
+++ b/crates/rig/src/bin/fit.rs
@@ -0,0 +1,151 @@
+//! `measure/fit`: what the runs of a record say of other sizes. Writes the fits into the record, in place of older ones.
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use lexopt::prelude::{Long, Value, ValueExt};
+use quillpoint_lab::plot::{self, Axes};
+use quillpoint_rig::fit::{self, FEWEST_SIZES, MOST_ERROR};
+use quillpoint_rig::record::{self, Axis, Fit, Form, Line, Mode};
+use quillpoint_rig::simulated;
+
+const HELP: &str = "\
+Usage: measure/fit RECORD... [--to FILE]
+       measure/fit RECORD... --plot FILE --figure NAME --axis AXIS
+
+  --to FILE      the runs and their fits go there; without it, into the record itself, of which there is then one
+  --plot FILE    nothing is written but an SVG: what was played, and the fits, a pair of lines for each mode
+  --figure NAME  as records name it, or several with + between them
+  --axis AXIS    routers, databases, connections, statements or changes
+
+Records are those of measure/scale, and those of quillpoint-lab, whose runs are then entered as simulated.
+";
+
+struct Wanted {
+    records: Vec<PathBuf>,
+    to: Option<PathBuf>,
+    plot: Option<PathBuf>,
+    figure: Option<String>,
+    axis: Option<Axis>,
+}
+
+fn wanted() -> Result<Option<Wanted>, Box<dyn Error>> {
+    let mut wanted = Wanted { records: Vec::new(), to: None, plot: None, figure: None, axis: None };
+    let mut words = lexopt::Parser::from_env();
+    while let Some(word) = words.next()? {
+        match word {
+            Long("to") => wanted.to = Some(words.value()?.into()),
+            Long("plot") => wanted.plot = Some(words.value()?.into()),
+            Long("figure") => wanted.figure = Some(words.value()?.string()?),
+            Long("axis") => {
+                let name = words.value()?.string()?;
+                let axis = Axis::ALL.into_iter().find(|axis| axis.name() == name);
+                wanted.axis = Some(axis.ok_or_else(|| format!("there is no axis {name:?}"))?);
+            }
+            Long("help") => return Ok(None),
+            Value(record) => wanted.records.push(record.into()),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if wanted.records.is_empty() {
+        return Err("a record is needed".into());
+    }
+    if wanted.plot.is_none() && wanted.to.is_none() && wanted.records.len() > 1 {
+        return Err("--to is needed to make one record of several".into());
+    }
+    Ok(Some(wanted))
+}
+
+fn read(path: &Path) -> Result<Vec<Line>, Box<dyn Error>> {
+    Ok(if simulated::is_record(path)? { simulated::read(path)? } else { record::read(path)? })
+}
+
+fn main() -> ExitCode {
+    let done = wanted().and_then(|wanted| match wanted {
+        Some(wanted) => obey(&wanted),
+        None => {
+            print!("{HELP}");
+            Ok(())
+        }
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("measure/fit: {error}; see measure/fit --help");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn obey(wanted: &Wanted) -> Result<(), Box<dyn Error>> {
+    let mut lines = Vec::new();
+    for record in &wanted.records {
+        lines.extend(read(record)?);
+    }
+    lines.retain(|line| matches!(line, Line::Run { .. }));
+    if let Some(path) = &wanted.plot {
+        let (Some(figure), Some(axis)) = (&wanted.figure, wanted.axis) else {
+            return Err("a plot needs --figure and --axis".into());
+        };
+        return draw(path, &lines, axis, figure);
+    }
+    let fits = fit::fit_all(&lines);
+    if fits.is_empty() {
+        return Err(
+            format!("no figure was played at {FEWEST_SIZES} sizes of an axis with all else held").into()
+        );
+    }
+    fits.iter().for_each(print);
+    lines.extend(fits.into_iter().map(Line::Fit));
+    let to = wanted.to.as_ref().unwrap_or(&wanted.records[0]);
+    record::write(to, &lines)?;
+    Ok(())
+}
+
+fn print(fit: &Fit) {
+    println!(
+        "{} over {}, {}: {}, {} sizes, residual {:.3}, spread {:.3}; {} at {} predicted as {}, error {:.3}{}",
+        fit.figure,
+        fit.axis.name(),
+        fit.mode.name(),
+        formula(fit),
+        fit.points,
+        fit.residual,
+        fit.spread,
+        fit.played,
+        fit.largest,
+        fit.predicted,
+        fit.error,
+        if fit.is_usable() { "" } else { ": the form is wrong" },
+    );
+}
+
+fn formula(fit: &Fit) -> String {
+    let by = match fit.form {
+        Form::Constant => return format!("{:.4e}", fit.offset),
+        Form::Log => "ln n",
+        Form::Linear => "n",
+        Form::Square => "n²",
+        Form::Product => "n·m",
+    };
+    format!("{:.4e} + {:.4e} {by}", fit.offset, fit.slope)
+}
+
+fn draw(path: &Path, lines: &[Line], axis: Axis, figure: &str) -> Result<(), Box<dyn Error>> {
+    let mut drawn = Vec::new();
+    for mode in Mode::ALL {
+        let Some(played) = fit::points(lines, axis, mode, figure) else { continue };
+        let points = played.points.iter().map(|point| (point.size, point.mean)).collect();
+        drawn.push(plot::Line { name: format!("{}, played", mode.name()), points });
+        let Ok(fit) = fit::fit(lines, axis, mode, figure) else { continue };
+        let size = |point: &fit::Point| {
+            if fit.form == Form::Product { point.routers * point.databases } else { point.size }
+        };
+        let points = played.points.iter().map(|point| (point.size, fit.at(size(point)))).collect();
+        let off = if fit.error > MOST_ERROR { ", wrong" } else { "" };
+        drawn.push(plot::Line { name: format!("{}, {}{off}", mode.name(), formula(&fit)), points });
+    }
+    let title = format!("{figure} over {}", axis.name());
+    plot::lines(path, &Axes { title: &title, x: axis.name(), y: figure }, &drawn)
+}
--- /dev/null
+++ b/crates/rig/src/fit.rs
@@ -0,0 +1,281 @@
+//! How a figure grows with a size: fitted on the sizes played but the largest, which tells whether the form holds.
+//!
+//! A point is one size; several runs of it (seeds) are averaged. Each form is an offset and one slope by least squares,
+//! a constant an offset alone. A form is chosen by the fitted points alone: each of them is left out in turn and
+//! predicted from the others, and the form with the least error is taken. A slope must earn its place: it is dropped
+//! for a constant unless it takes a fifth off the constant's error.
+//!
+//! Routers times databases looks like routers alone while databases are held, so it is weighed only where routers or
+//! databases alone would be taken, against the points of both axes together.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use linregress::fit_low_level_regression_model_without_statistics as least_squares;
+
+use crate::record::{Axis, Fit, Form, Line, Mode, Sizes};
+
+/// One is left out, two decide a slope, and one is left to say that a line is none.
+pub const FEWEST_SIZES: usize = 4;
+/// A prediction that is off by more speaks for another form.
+pub const MOST_ERROR: f64 = 0.20;
+/// A slope must bring the error of left-out points down to this part of a constant's.
+const WORTH_A_SLOPE: f64 = 0.8;
+
+/// What is fitted beside the figures themselves: budgets are for both ways together.
+pub const SUMS: [&str; 4] = [
+    "router_bytes_in_s+router_bytes_out_s",
+    "router_messages_in_s+router_messages_out_s",
+    "control_bytes_in_s+control_bytes_out_s",
+    "control_messages_in_s+control_messages_out_s",
+];
+
+/// Why nothing is fitted.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Unfit {
+    #[error("{figure} over {}, {}: {sizes} sizes were played with all else held, and {FEWEST_SIZES} are needed", axis.name(), mode.name())]
+    TooFew { figure: String, axis: Axis, mode: Mode, sizes: usize },
+    #[error("{figure} over {}, {}: {fault}", axis.name(), mode.name())]
+    Numbers { figure: String, axis: Axis, mode: Mode, fault: String },
+}
+
+/// What was played at one size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Point {
+    pub size: f64,
+    pub routers: f64,
+    pub databases: f64,
+    /// Of its runs.
+    pub mean: f64,
+    /// Half the distance between the least and the most, as a part of the mean.
+    pub spread: f64,
+    pub runs: usize,
+}
+
+/// The points of a figure over an axis, by size, and what was held: the sizes of the first run there.
+#[derive(Clone, Debug)]
+pub struct Points {
+    pub held: Sizes,
+    pub points: Vec<Point>,
+}
+
+impl Fit {
+    /// The figure at a size; of a product, at routers times databases.
+    pub fn at(&self, size: f64) -> f64 {
+        self.offset + self.slope * value(self.form, size)
+    }
+
+    /// Whether the form predicted the largest size well enough for other sizes to be predicted by it.
+    pub fn is_usable(&self) -> bool {
+        self.error <= MOST_ERROR
+    }
+}
+
+/// What the slope is multiplied by.
+pub fn value(form: Form, size: f64) -> f64 {
+    match form {
+        Form::Constant => 0.0,
+        Form::Log => size.ln(),
+        Form::Linear | Form::Product => size,
+        Form::Square => size * size,
+    }
+}
+
+/// The place of a run on an axis.
+pub fn size(sizes: &Sizes, axis: Axis) -> f64 {
+    match axis {
+        Axis::Routers => sizes.routers as f64,
+        Axis::Databases => sizes.databases as f64,
+        Axis::Connections => sizes.connections as f64,
+        Axis::Statements => sizes.statements,
+        Axis::Changes => sizes.changes,
+    }
+}
+
+/// A figure by its name, or a sum of several by their names with `+` between them.
+pub fn figure(figures: &BTreeMap<String, f64>, name: &str) -> Option<f64> {
+    name.split('+').map(|name| figures.get(name.trim())).sum()
+}
+
+/// All that must be the same in two runs for them to be points of one axis.
+fn held(sizes: &Sizes, axis: Axis) -> [u64; 7] {
+    let but = |other: Axis| if axis == other { 0.0 } else { size(sizes, other) };
+    let all = [
+        but(Axis::Routers),
+        but(Axis::Databases),
+        but(Axis::Connections),
+        but(Axis::Statements),
+        but(Axis::Changes),
+        sizes.control as f64,
+        sizes.period_s,
+    ];
+    // The bits of numbers that are not negative are in their order.
+    all.map(f64::to_bits)
+}
+
+/// Whether nothing but routers and databases differs.
+fn is_alike(one: &Sizes, other: &Sizes) -> bool {
+    let but_both = |sizes: &Sizes| held(&Sizes { routers: 0, ..sizes.clone() }, Axis::Databases);
+    but_both(one) == but_both(other)
+}
+
+/// The calm runs that differ in the axis alone. Where runs were held at several places, those with the most sizes
+/// count, and of as many those held at the larger ones.
+pub fn points(lines: &[Line], axis: Axis, mode: Mode, name: &str) -> Option<Points> {
+    let mut places = BTreeMap::<[u64; 7], BTreeMap<u64, Vec<(&Sizes, f64)>>>::new();
+    for line in lines {
+        let Line::Run { fault: None, sizes, figures, .. } = line else { continue };
+        let (true, Some(is)) = (sizes.mode == mode, figure(figures, name)) else { continue };
+        let place = places.entry(held(sizes, axis)).or_default();
+        place.entry(size(sizes, axis).to_bits()).or_default().push((sizes, is));
+    }
+    let (_, of_size) = places.into_iter().max_by_key(|(held, of_size)| (of_size.len(), *held))?;
+    let point = |runs: &Vec<(&Sizes, f64)>| {
+        let (least, most) =
+            runs.iter().fold((f64::MAX, f64::MIN), |(low, high), (_, is)| (low.min(*is), high.max(*is)));
+        let mean = runs.iter().map(|(_, is)| is).sum::<f64>() / runs.len() as f64;
+        let sizes = runs[0].0;
+        Point {
+            size: size(sizes, axis),
+            routers: sizes.routers as f64,
+            databases: sizes.databases as f64,
+            mean,
+            spread: off((most - least) / 2.0, mean),
+            runs: runs.len(),
+        }
+    };
+    let held = of_size.values().next()?.first()?.0.clone();
+    Some(Points { held, points: of_size.values().map(point).collect() })
+}
+
+/// A deviation as a part of what was played; of nothing, all of it.
+fn off(by: f64, played: f64) -> f64 {
+    match (by.abs(), played.abs()) {
+        (0.0, _) => 0.0,
+        (_, 0.0) => 1.0,
+        (by, played) => by / played,
+    }
+}
+
+/// Offset and slope.
+type Curve = (f64, f64);
+
+/// Least squares, which for a constant is the mean. The form's values are brought to one at the most, so that no square
+/// of a size drowns the offset.
+fn curve(form: Form, points: &[(f64, f64)]) -> Result<Curve, linregress::Error> {
+    if form == Form::Constant {
+        return Ok((points.iter().map(|(_, is)| is).sum::<f64>() / points.len() as f64, 0.0));
+    }
+    let scale =
+        points.iter().map(|(at, _)| value(form, *at).abs()).fold(0.0, f64::max).max(f64::MIN_POSITIVE);
+    let row = |(at, is): &(f64, f64)| [*is, 1.0, value(form, *at) / scale];
+    let rows: Vec<f64> = points.iter().flat_map(row).collect();
+    let found = least_squares(&rows, points.len(), 3)?;
+    Ok((found[0], found[1] / scale))
+}
+
+/// The error of points that are left out in turn, as a part of the mean figure.
+fn left_out(form: Form, points: &[(f64, f64)]) -> Result<f64, linregress::Error> {
+    let mut squares = 0.0;
+    for place in 0..points.len() {
+        let mut others = points.to_vec();
+        let (at, is) = others.remove(place);
+        let (offset, slope) = curve(form, &others)?;
+        squares += (offset + slope * value(form, at) - is).powi(2);
+    }
+    let mean = points.iter().map(|(_, is)| is.abs()).sum::<f64>() / points.len() as f64;
+    Ok(off((squares / points.len() as f64).sqrt(), mean))
+}
+
+/// The form that predicts best what is left out.
+fn best(points: &[(f64, f64)]) -> Result<Form, linregress::Error> {
+    let constant = left_out(Form::Constant, points)?;
+    let mut best = (Form::Constant, constant * WORTH_A_SLOPE);
+    for form in [Form::Log, Form::Linear, Form::Square] {
+        if form == Form::Log && points.iter().any(|(at, _)| *at <= 0.0) {
+            continue;
+        }
+        let error = left_out(form, points)?;
+        if error < best.1 {
+            best = (form, error);
+        }
+    }
+    Ok(best.0)
+}
+
+/// # Errors
+/// Fewer than four sizes were played, or the numbers are none that can be fitted.
+pub fn fit(lines: &[Line], axis: Axis, mode: Mode, name: &str) -> Result<Fit, Unfit> {
+    let too_few = |sizes| Unfit::TooFew { figure: name.to_string(), axis, mode, sizes };
+    let Points { held: held_at, points: all } = points(lines, axis, mode, name).ok_or_else(|| too_few(0))?;
+    if all.len() < FEWEST_SIZES {
+        return Err(too_few(all.len()));
+    }
+    let numbers = |error: linregress::Error| Unfit::Numbers {
+        figure: name.to_string(),
+        axis,
+        mode,
+        fault: error.to_string(),
+    };
+    let (largest, fitted) = all.split_last().ok_or_else(|| too_few(0))?;
+    let by_size: Vec<_> = fitted.iter().map(|point| (point.size, point.mean)).collect();
+    let mut form = best(&by_size).map_err(numbers)?;
+    let (mut chosen, mut at) = (by_size, largest.size);
+    let other = match axis {
+        Axis::Routers => Some(Axis::Databases),
+        Axis::Databases => Some(Axis::Routers),
+        _ => None,
+    };
+    if let (Form::Linear, Some(other)) = (form, other) {
+        let others = points(lines, other, mode, name)
+            .filter(|others| is_alike(&others.held, &held_at))
+            .map_or(Vec::new(), |points| points.points);
+        let mut both = fitted.to_vec();
+        both.extend_from_slice(&others[..others.len().saturating_sub(1)]);
+        let over =
+            |size: fn(&Point) -> f64| both.iter().map(|point| (size(point), point.mean)).collect::<Vec<_>>();
+        let product = over(|point| point.routers * point.databases);
+        let alone =
+            if axis == Axis::Routers { over(|point| point.routers) } else { over(|point| point.databases) };
+        // Without sizes of the other axis there is nothing that could tell them apart.
+        let two = others.len() >= FEWEST_SIZES;
+        if two
+            && left_out(Form::Product, &product).map_err(numbers)?
+                < left_out(Form::Linear, &alone).map_err(numbers)?
+        {
+            (form, chosen, at) = (Form::Product, product, largest.routers * largest.databases);
+        }
+    }
+    let (offset, slope) = curve(form, &chosen).map_err(numbers)?;
+    let mut fit = Fit {
+        axis,
+        mode,
+        figure: name.to_string(),
+        form,
+        slope,
+        offset,
+        residual: 0.0,
+        spread: all.iter().map(|point| point.spread).fold(0.0, f64::max),
+        points: chosen.len(),
+        largest: largest.size,
+        predicted: 0.0,
+        played: largest.mean,
+        error: 0.0,
+    };
+    fit.residual = chosen.iter().map(|(at, is)| off(fit.at(*at) - is, *is)).fold(0.0, f64::max);
+    fit.predicted = fit.at(at);
+    fit.error = off(fit.predicted - fit.played, fit.played);
+    Ok(fit)
+}
+
+/// Every figure, and each of [`SUMS`], over every axis in every mode that was played at enough sizes, in this order.
+pub fn fit_all(lines: &[Line]) -> Vec<Fit> {
+    let mut wanted = BTreeSet::new();
+    for line in lines {
+        if let Line::Run { sizes, figures, .. } = line {
+            let names = figures.keys().map(String::as_str).chain(SUMS);
+            wanted.extend(names.map(|name| (sizes.mode, name)));
+        }
+    }
+    let all = wanted.iter().flat_map(|(mode, name)| Axis::ALL.map(|axis| fit(lines, axis, *mode, name)));
+    all.filter_map(Result::ok).collect()
+}
--- a/crates/rig/src/record.rs
+++ b/crates/rig/src/record.rs
@@ -4,6 +4,9 @@
 //! The names and what they mean stand in `docs/measurements/README.md`.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 
@@ -75,23 +78,31 @@
         bounds: Vec<Bound>,
     },
     /// A figure over an axis: fitted without the largest size, which is predicted and compared with what was played.
-    Fit {
-        axis: Axis,
-        mode: Mode,
-        figure: String,
-        form: Form,
-        /// figure = offset + slope * form(size)
-        slope: f64,
-        offset: f64,
-        /// The largest deviation of a fitted point, as a part of it.
-        residual: f64,
-        points: usize,
-        largest: f64,
-        predicted: f64,
-        played: f64,
-        /// |predicted - played| / played.
-        error: f64,
-    },
+    Fit(Fit),
+}
+
+/// See [`crate::fit`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fit {
+    pub axis: Axis,
+    pub mode: Mode,
+    /// A name, or several joined by `+`, whose sum is fitted.
+    pub figure: String,
+    pub form: Form,
+    /// figure = offset + slope * form(size)
+    pub slope: f64,
+    pub offset: f64,
+    /// The largest deviation of a fitted point, as a part of it.
+    pub residual: f64,
+    /// Half the distance between the least and the most of one size's runs, as a part of their mean: the widest.
+    pub spread: f64,
+    /// How many sizes were fitted.
+    pub points: usize,
+    pub largest: f64,
+    pub predicted: f64,
+    pub played: f64,
+    /// |predicted - played| / played.
+    pub error: f64,
 }
 
 /// How a figure depends on a size. Over routers, `Product` is routers times databases held.
@@ -104,3 +115,58 @@
     Square,
     Product,
 }
+
+impl Axis {
+    pub const ALL: [Self; 5] =
+        [Self::Routers, Self::Databases, Self::Connections, Self::Statements, Self::Changes];
+
+    /// The name in records.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Routers => "routers",
+            Self::Databases => "databases",
+            Self::Connections => "connections",
+            Self::Statements => "statements",
+            Self::Changes => "changes",
+        }
+    }
+}
+
+impl Mode {
+    pub const ALL: [Self; 3] = [Self::Off, Self::Shared, Self::Feed];
+
+    /// The name in records.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Off => "off",
+            Self::Shared => "shared",
+            Self::Feed => "feed",
+        }
+    }
+}
+
+/// # Errors
+/// The file cannot be read, or a line of it is no record's; it is named.
+pub fn read(path: &Path) -> io::Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for (number, line) in (1..).zip(BufReader::new(File::open(path)?).lines()) {
+        let told = |error| io::Error::other(format!("{}:{number}: {error}", path.display()));
+        lines.push(serde_json::from_str(&line?).map_err(told)?);
+    }
+    Ok(lines)
+}
+
+/// Puts these lines in the place of what the file holds, or leaves it as it is.
+///
+/// # Errors
+/// The file cannot be written.
+pub fn write(path: &Path, lines: &[Line]) -> io::Result<()> {
+    let mut text = String::new();
+    for line in lines {
+        text += &serde_json::to_string(line)?;
+        text.push('\n');
+    }
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, text)?;
+    std::fs::rename(&beside, path)
+}
--- /dev/null
+++ b/crates/rig/src/simulated.rs
@@ -0,0 +1,58 @@
+//! Runs of `quillpoint-lab` as lines of a record: simulated, which a record shows by runs without any process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+
+use crate::record::{Line, Mode, Sizes};
+
+/// Whether a file's lines are the lab's.
+///
+/// # Errors
+/// The file cannot be read.
+pub fn is_record(path: &Path) -> io::Result<bool> {
+    let text = std::fs::read_to_string(path)?;
+    let first =
+        text.lines().next().and_then(|line| serde_json::from_str::<quillpoint_lab::record::Run>(line).ok());
+    Ok(first.is_some())
+}
+
+/// Runs with loss or kills are none of a calm fleet, and left out. Period and span stand in the experiment's file
+/// alone, and are zero here.
+///
+/// # Errors
+/// The file cannot be read, or a line is no run; it is named.
+pub fn read(path: &Path) -> io::Result<Vec<Line>> {
+    let runs = quillpoint_lab::record::read(path)?;
+    let line = |run: quillpoint_lab::record::Run| Line::Run {
+        axis: None,
+        fault: None,
+        sizes: Sizes {
+            mode: if run.shared { Mode::Shared } else { Mode::Off },
+            routers: run.routers,
+            real: 0,
+            hollow_processes: 0,
+            control: 0,
+            databases: run.nodes,
+            connections: 0,
+            statements: 0.0,
+            changes: 0.0,
+            period_s: 0.0,
+            seed: run.seed,
+            seconds: 0.0,
+        },
+        figures: BTreeMap::from(
+            [
+                ("router_bytes_out_s", run.bytes_per_router_s),
+                ("router_messages_out_s", run.datagrams_per_router_s),
+                ("router_cpu_part", run.cpu_part),
+                ("age_p50_s", run.age_p50_s),
+                ("age_p99_s", run.age_p99_s),
+                ("database_probes_s", run.probes_per_node_s),
+            ]
+            .map(|(name, is)| (name.to_string(), is)),
+        ),
+        bounds: Vec::new(),
+    };
+    Ok(runs.into_iter().filter(|run| run.kills == 0 && run.loss == 0.0).map(line).collect())
+}
