--- /dev/null
+++ b/crates/rig/src/capacity.rs
@@ -0,0 +1,110 @@
+//! The tables of `docs/CAPACITY.md`: what the target's size asks of each role, from the records of runs.
+//!
+//! [`asks`] says which figure stands beside which budget. A row is made from a record's runs and says how: played at
+//! that size, predicted by a fit that held, computed, or not measured. Every number is rounded up where it is shown, and
+//! what follows is computed from what is shown. `measure/capacity` writes the page.
+
+pub mod asks;
+pub mod numbers;
+mod rows;
+mod tables;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::path::Path;
+
+use asks::{PLAYED, SECTIONS, SIMULATED, Side};
+pub use rows::is_simulated;
+
+use crate::fit;
+use crate::record::{self, Fit, Line};
+
+/// Why the page cannot be made.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{0}")]
+    Record(#[from] std::io::Error),
+    #[error("{0}: its fits are not those of its runs; run measure/fit on it first")]
+    Stale(&'static str),
+    #[error("the page has no marker {0}")]
+    NoMarker(String),
+    #[error("the page's marker {0} has no end")]
+    NoEnd(String),
+    #[error("the page's marker {0} is not known")]
+    Unknown(String),
+}
+
+/// The records that the rows rest on, by name. One that is not there holds nothing.
+struct Books(BTreeMap<&'static str, Vec<Line>>);
+
+impl Books {
+    fn read(folder: &Path) -> Result<Self, Fault> {
+        let mut books = BTreeMap::new();
+        for name in [PLAYED, SIMULATED] {
+            let path = folder.join(name);
+            let lines = if path.exists() { record::read(&path)? } else { Vec::new() };
+            if !has_its_fits(&lines) {
+                return Err(Fault::Stale(name));
+            }
+            books.insert(name, lines);
+        }
+        Ok(Self(books))
+    }
+
+    fn lines(&self, record: &str) -> &[Line] {
+        self.0.get(record).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Whether the fits of a record are those that its runs give.
+pub fn has_its_fits(lines: &[Line]) -> bool {
+    let written: Vec<&Fit> =
+        lines.iter().filter_map(|line| if let Line::Fit(fit) = line { Some(fit) } else { None }).collect();
+    let due = fit::fit_all(lines);
+    let near = |one: f64, other: f64| (one - other).abs() <= 1e-9 * one.abs().max(other.abs()).max(1e-9);
+    written.len() == due.len()
+        && written.iter().zip(&due).all(|(one, other)| {
+            (one.axis, one.mode, &one.figure, one.form) == (other.axis, other.mode, &other.figure, other.form)
+                && near(one.slope, other.slope)
+                && near(one.offset, other.offset)
+                && near(one.error, other.error)
+        })
+}
+
+fn block(name: &str, books: &Books) -> Option<String> {
+    match name {
+        "missing-today" => Some(tables::missing(&[Side::Shared, Side::Any], books)),
+        "missing-feed" => Some(tables::missing(&[Side::Feed, Side::Any], books)),
+        "slopes" => Some(tables::slopes(books)),
+        "runs" => Some(tables::runs(books)),
+        section if SECTIONS.iter().any(|(name, _)| *name == section) => Some(tables::table(section, books)),
+        _ => None,
+    }
+}
+
+const BEGIN: &str = "<!-- begin ";
+const END: &str = "<!-- end -->";
+
+/// The page with each of its marked parts made anew from the records in the folder. The prose stays.
+///
+/// # Errors
+/// A record cannot be read or has not been fitted, or the page's markers are at fault.
+pub fn fill(page: &str, folder: &Path) -> Result<String, Fault> {
+    let books = Books::read(folder)?;
+    let (mut made, mut rest, mut seen) = (String::new(), page, BTreeSet::new());
+    while let Some(at) = rest.find(BEGIN) {
+        let name = rest[at + BEGIN.len()..].split(" -->").next().unwrap_or_default();
+        let filled = block(name, &books).ok_or_else(|| Fault::Unknown(name.to_string()))?;
+        let end = rest[at..].find(END).ok_or_else(|| Fault::NoEnd(name.to_string()))?;
+        _ = write!(made, "{}{BEGIN}{name} -->\n{filled}{END}", &rest[..at]);
+        seen.insert(name);
+        rest = &rest[at + end + END.len()..];
+    }
+    made += rest;
+    let all =
+        SECTIONS.iter().map(|(name, _)| *name).chain(["missing-today", "missing-feed", "slopes", "runs"]);
+    match all.into_iter().find(|name| !seen.contains(name)) {
+        Some(name) => Err(Fault::NoMarker(name.to_string())),
+        None => Ok(made),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/capacity/asks.rs
@@ -0,0 +1,628 @@
+//! The one place that says which figure of which role stands beside which budget, and what carries it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillpoint_fleet::letter::CARDS_WHOLE;
+use quillpoint_fleet::membership::MOST_PEERS;
+
+use crate::listing;
+use crate::record::{Axis, Mode};
+
+/// The target.
+pub const ROUTERS: f64 = 7_900.0;
+pub const DATABASES: f64 = 18_000.0;
+pub const CONTROL_MACHINES: f64 = 8.0;
+pub const CONNECTIONS: f64 = 8_481.0;
+pub const STATEMENTS: f64 = 494.0;
+pub const BURST: f64 = 10.0;
+const ZONE_ROUTERS: f64 = 1_317.0;
+const RESTART_EVERY_S: f64 = 13.5;
+
+/// Bytes of control a router and second, and of all.
+const ROUTER_BYTES_S: f64 = 13_000.0;
+const ALL_BYTES_S: f64 = ROUTER_BYTES_S * ROUTERS;
+const CONTROL_BYTES_S: f64 = ALL_BYTES_S / CONTROL_MACHINES;
+const ROUTER_CPU: f64 = 0.047;
+const ROUTER_MEMORY: f64 = 64e6;
+const CONTROL_MEMORY: f64 = 1e9;
+const AGE_S: f64 = 0.3;
+const CHANGE_S: f64 = 1.0;
+const FOLLOW_S: f64 = 3.0;
+/// A database is probed once in this time by all together, as today.
+const PROBES_S: f64 = 1.0 / 0.15;
+const IN_FORCE_S: f64 = 15.0;
+
+/// What processes played, and what the lab did.
+pub const PLAYED: &str = "scale.jsonl";
+pub const SIMULATED: &str = "scale-simulated.jsonl";
+
+const ROUTER_BYTES: &str = "router_bytes_in_s+router_bytes_out_s";
+const ROUTER_MESSAGES: &str = "router_messages_in_s+router_messages_out_s";
+const CONTROL_BYTES: &str = "control_bytes_in_s+control_bytes_out_s";
+const CONTROL_MESSAGES: &str = "control_messages_in_s+control_messages_out_s";
+
+/// Faults by the names that measure/scale gives them.
+const RESTART: &str = "restart";
+const STOP: &str = "stop";
+const CUT: &str = "cut";
+const KILL: &str = "kill";
+const PRIMARY: &str = "primary";
+
+/// How a row stands to today's program.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Each router for itself.
+    Alone,
+    /// Today's sharing: all news to all.
+    Shared,
+    /// Control instances that tell by exception.
+    Feed,
+    /// Whatever the routers share.
+    Any,
+}
+
+#[derive(Clone, Copy)]
+pub enum Budget {
+    None,
+    Most(f64),
+    /// So many times what this figure was in a calm run of the same sizes.
+    TimesCalm(f64, &'static str),
+}
+
+/// A size that a calm figure is wanted at.
+#[derive(Clone, Copy)]
+pub enum Over {
+    Size(Axis, f64),
+    /// Over routers: so many before each control instance there is.
+    Share(f64),
+}
+
+pub enum Source {
+    /// A calm figure at these sizes: a row for each axis with the others held, and one for both together.
+    Calm { record: &'static str, mode: Mode, figure: &'static str, over: Vec<Over> },
+    /// What a fault did at the largest size at which it was played.
+    Fault { fault: &'static str, figure: &'static str },
+    /// Factors, and what they are divided by; where they come from.
+    Computed { factors: Vec<f64>, by: f64, from: &'static str },
+    /// There is nothing that could be measured.
+    Nothing,
+}
+
+/// A question to the records.
+pub struct Ask {
+    pub role: &'static str,
+    /// With its unit.
+    pub what: &'static str,
+    pub side: Side,
+    pub budget: Budget,
+    pub source: Source,
+    /// The package that carries it, or none.
+    pub mechanism: &'static str,
+}
+
+/// The sections of the page that hold rows, by the names of their markers.
+pub const SECTIONS: [(&str, &str); 9] = [
+    ("calm-alone", "calm"),
+    ("calm-shared", "calm"),
+    ("calm-feed", "calm"),
+    ("restarts", "a day's restarts"),
+    ("zone", "a zone's return"),
+    ("region", "a region alone"),
+    ("control-lost", "a control machine lost"),
+    ("burst", "a burst of changes"),
+    ("later", "later sittings"),
+];
+
+/// What is asked in a section.
+pub fn asks(section: &str) -> Vec<Ask> {
+    let both = || vec![Over::Size(Axis::Routers, ROUTERS), Over::Size(Axis::Databases, DATABASES)];
+    // In the lab all know each other, which more than these never do.
+    let known = || vec![Over::Size(Axis::Routers, MOST_PEERS as f64), Over::Size(Axis::Databases, DATABASES)];
+    let calm = |record, mode, figure, over| Source::Calm { record, mode, figure, over };
+    let ask =
+        |role, what, side, budget, source, mechanism| Ask { role, what, side, budget, source, mechanism };
+    let computed = |factors: &[f64], by, from| Source::Computed { factors: factors.to_vec(), by, from };
+    let (router, control, discovery) = ("router", "control machine", "discovery");
+    let (database, connection) = ("database", "client connection");
+    let (alone, shared, feed, any) = (Side::Alone, Side::Shared, Side::Feed, Side::Any);
+    let fault = |fault, figure| Source::Fault { fault, figure };
+    let followed = |routers, instances| vec![Over::Share(routers / instances)];
+    let shares = || vec![Over::Share(ROUTERS / CONTROL_MACHINES), Over::Size(Axis::Databases, DATABASES)];
+    let entry = entry_bytes();
+    match section {
+        "calm-alone" => vec![
+            ask(
+                database,
+                "probes a second",
+                alone,
+                Budget::Most(PROBES_S),
+                calm(SIMULATED, Mode::Off, "database_probes_s", vec![Over::Size(Axis::Routers, ROUTERS)]),
+                "none: each router probes for itself",
+            ),
+            ask(
+                database,
+                "probes a second",
+                alone,
+                Budget::Most(PROBES_S),
+                calm(PLAYED, Mode::Off, "database_probes_s", vec![Over::Size(Axis::Routers, ROUTERS)]),
+                "none: each router probes for itself",
+            ),
+            ask(
+                router,
+                "processor time of control, cores",
+                alone,
+                Budget::Most(ROUTER_CPU),
+                calm(PLAYED, Mode::Off, "router_cpu_part", both()),
+                "none: each router probes for itself",
+            ),
+        ],
+        "calm-shared" => {
+            let mut rows = vec![
+                ask(
+                    router,
+                    "bytes sent a second",
+                    shared,
+                    Budget::Most(ROUTER_BYTES_S),
+                    calm(SIMULATED, Mode::Shared, "router_bytes_out_s", known()),
+                    "fleet",
+                ),
+                ask(
+                    router,
+                    "messages sent a second",
+                    shared,
+                    Budget::None,
+                    calm(SIMULATED, Mode::Shared, "router_messages_out_s", known()),
+                    "fleet",
+                ),
+                ask(
+                    router,
+                    "processor time of decisions, cores",
+                    shared,
+                    Budget::Most(ROUTER_CPU),
+                    calm(SIMULATED, Mode::Shared, "router_cpu_part", known()),
+                    "fleet",
+                ),
+                ask(
+                    router,
+                    "age of what is known, p99, s",
+                    shared,
+                    Budget::Most(AGE_S),
+                    calm(SIMULATED, Mode::Shared, "age_p99_s", known()),
+                    "fleet",
+                ),
+                ask(
+                    database,
+                    "probes a second",
+                    shared,
+                    Budget::Most(PROBES_S),
+                    calm(SIMULATED, Mode::Shared, "database_probes_s", known()),
+                    "fleet",
+                ),
+                ask(
+                    router,
+                    "others that it never knows",
+                    shared,
+                    Budget::None,
+                    computed(&[ROUTERS - MOST_PEERS as f64], 1.0, "crates/fleet/src/membership.rs"),
+                    "none: fleet keeps 256 peers",
+                ),
+                ask(
+                    database,
+                    "probes a second, if views of 256 divide the routers",
+                    shared,
+                    Budget::Most(PROBES_S),
+                    computed(&[ROUTERS, PROBES_S], MOST_PEERS as f64, "crates/fleet/src/membership.rs"),
+                    "none: fleet keeps 256 peers",
+                ),
+                ask(
+                    router,
+                    "scores at a change of the view, if all were known",
+                    shared,
+                    Budget::None,
+                    computed(&[ROUTERS, DATABASES], 1.0, "crates/fleet/src/rendezvous.rs"),
+                    "fleet",
+                ),
+            ];
+            rows.extend(of_a_router(Mode::Shared, shared, "fleet"));
+            rows
+        }
+        "calm-feed" => {
+            let mut rows = of_a_router(Mode::Feed, feed, "feed, control");
+            let of_control = [
+                ("bytes in and out a second", CONTROL_BYTES, Budget::Most(CONTROL_BYTES_S)),
+                ("messages in and out a second", CONTROL_MESSAGES, Budget::None),
+                ("processor time, cores", "control_cpu_part", Budget::Most(1.0)),
+                ("memory, bytes", "control_memory_bytes", Budget::Most(CONTROL_MEMORY)),
+                ("state, bytes", "control_state_bytes", Budget::Most(CONTROL_MEMORY)),
+            ];
+            rows.extend(of_control.map(|(what, figure, budget)| {
+                let source = calm(PLAYED, Mode::Feed, figure, shares());
+                ask(control, what, feed, budget, source, "feed, fleet, control")
+            }));
+            rows.push(ask(
+                discovery,
+                "bytes a second",
+                any,
+                Budget::None,
+                calm(PLAYED, Mode::Feed, "discovery_bytes_s", both()),
+                "watch",
+            ));
+            rows.push(ask(
+                database,
+                "probes a second",
+                feed,
+                Budget::Most(PROBES_S),
+                calm(PLAYED, Mode::Feed, "database_probes_s", both()),
+                "fleet among control instances",
+            ));
+            let at_connections = || vec![Over::Size(Axis::Connections, CONNECTIONS)];
+            let at_statements = || vec![Over::Size(Axis::Statements, STATEMENTS)];
+            rows.extend([
+                ask(
+                    connection,
+                    "memory of one, bytes",
+                    any,
+                    Budget::None,
+                    calm(PLAYED, Mode::Feed, "connection_memory_bytes", at_connections()),
+                    "router",
+                ),
+                ask(
+                    connection,
+                    "memory of a router with all of its own, bytes",
+                    any,
+                    Budget::None,
+                    calm(PLAYED, Mode::Feed, "real_memory_bytes", at_connections()),
+                    "router",
+                ),
+                ask(
+                    connection,
+                    "processor time of a router with all of its own, cores",
+                    any,
+                    Budget::None,
+                    calm(PLAYED, Mode::Feed, "real_cpu_part", at_connections()),
+                    "router",
+                ),
+                ask(
+                    connection,
+                    "processor time of a router for its statements, cores",
+                    any,
+                    Budget::None,
+                    calm(PLAYED, Mode::Feed, "real_cpu_part", at_statements()),
+                    "router",
+                ),
+            ]);
+            rows
+        }
+        "restarts" => vec![
+            ask(
+                discovery,
+                "bytes of the list at one start",
+                any,
+                Budget::None,
+                computed(&[entry, DATABASES], 1.0, "crates/rig/src/listing.rs"),
+                "watch: whole lists",
+            ),
+            ask(
+                discovery,
+                "bytes a second, one start in 13.5 s",
+                any,
+                Budget::None,
+                computed(&[entry, DATABASES], RESTART_EVERY_S, "crates/rig/src/listing.rs"),
+                "watch: whole lists",
+            ),
+            ask(
+                router,
+                "memory of control through a restart of a sixth, bytes",
+                feed,
+                Budget::Most(ROUTER_MEMORY),
+                fault(RESTART, "router_memory_bytes"),
+                "feed, control",
+            ),
+        ],
+        "zone" => vec![
+            ask(
+                router,
+                "bytes of greetings of all that come back",
+                shared,
+                Budget::Most(ALL_BYTES_S * FOLLOW_S),
+                computed(
+                    &[
+                        ZONE_ROUTERS,
+                        MOST_PEERS as f64,
+                        (MOST_PEERS as f64 / CARDS_WHOLE as f64).ceil(),
+                        LETTER,
+                    ],
+                    1.0,
+                    "crates/fleet/src/membership.rs, letter.rs",
+                ),
+                "none: fleet greets all that it knows",
+            ),
+            ask(
+                router,
+                "letters that answer one that stood still, if all were known",
+                shared,
+                Budget::None,
+                computed(
+                    &[ROUTERS - 1.0, ((ROUTERS - 1.0) / CARDS_WHOLE as f64).ceil()],
+                    1.0,
+                    "crates/fleet/src/membership.rs, letter.rs",
+                ),
+                "none: fleet greets all that it knows",
+            ),
+            ask(
+                discovery,
+                "bytes of lists to all that come back",
+                any,
+                Budget::Most(ALL_BYTES_S * FOLLOW_S),
+                computed(&[entry, DATABASES, ZONE_ROUTERS], 1.0, "crates/rig/src/listing.rs"),
+                "none: watch asks for whole lists at once",
+            ),
+            ask(
+                router,
+                "time until all follow again, a sixth restarted, s",
+                feed,
+                Budget::Most(FOLLOW_S),
+                fault(RESTART, "follow_max_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "peak, bytes a second, a sixth restarted",
+                feed,
+                Budget::None,
+                fault(RESTART, "peak_router_bytes_s"),
+                "feed",
+            ),
+            ask(
+                control,
+                "peak, bytes a second, a sixth restarted",
+                feed,
+                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                fault(RESTART, "peak_control_bytes_s"),
+                "feed: paced copies",
+            ),
+            ask(
+                control,
+                "peak of processor time, cores, a sixth restarted",
+                feed,
+                Budget::Most(1.0),
+                fault(RESTART, "peak_control_cpu_part"),
+                "feed: paced copies",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth restarted, s",
+                feed,
+                Budget::None,
+                fault(RESTART, "calm_after_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "time until all follow again, a sixth stopped for 3 s, s",
+                feed,
+                Budget::Most(FOLLOW_S),
+                fault(STOP, "follow_max_s"),
+                "feed",
+            ),
+            ask(
+                control,
+                "peak, bytes a second, a sixth stopped for 3 s",
+                feed,
+                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                fault(STOP, "peak_control_bytes_s"),
+                "feed: paced copies",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth stopped for 3 s, s",
+                feed,
+                Budget::None,
+                fault(STOP, "calm_after_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "a primary changed in the midst of it, known to all, s",
+                feed,
+                Budget::Most(CHANGE_S),
+                fault(PRIMARY, "change_known_max_s"),
+                "feed",
+            ),
+        ],
+        "region" => vec![
+            ask(
+                control,
+                "bytes in and out a second, 4 machines before 3,950 routers",
+                feed,
+                Budget::Most(CONTROL_BYTES_S),
+                calm(PLAYED, Mode::Feed, CONTROL_BYTES, followed(ROUTERS / 2.0, CONTROL_MACHINES / 2.0)),
+                "feed, fleet, control",
+            ),
+            ask(
+                control,
+                "processor time, cores, 4 machines before 3,950 routers",
+                feed,
+                Budget::Most(1.0),
+                calm(PLAYED, Mode::Feed, "control_cpu_part", followed(ROUTERS / 2.0, CONTROL_MACHINES / 2.0)),
+                "feed, fleet, control",
+            ),
+            ask(
+                router,
+                "age of what is known, the oldest, while cut for 30 s, s",
+                feed,
+                Budget::None,
+                fault(CUT, "age_max_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "time until views agree after healing, s",
+                feed,
+                Budget::Most(5.0),
+                fault(CUT, "calm_after_s"),
+                "feed",
+            ),
+            ask(
+                control,
+                "peak, bytes a second, at healing",
+                feed,
+                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                fault(CUT, "peak_control_bytes_s"),
+                "feed: paced copies",
+            ),
+        ],
+        "control-lost" => vec![
+            ask(
+                control,
+                "bytes in and out a second, 7 machines left",
+                feed,
+                Budget::Most(CONTROL_BYTES_S),
+                calm(PLAYED, Mode::Feed, CONTROL_BYTES, followed(ROUTERS, CONTROL_MACHINES - 1.0)),
+                "feed, fleet, control",
+            ),
+            ask(
+                control,
+                "processor time, cores, 7 machines left",
+                feed,
+                Budget::Most(1.0),
+                calm(PLAYED, Mode::Feed, "control_cpu_part", followed(ROUTERS, CONTROL_MACHINES - 1.0)),
+                "feed, fleet, control",
+            ),
+            ask(
+                router,
+                "age of what is known, the oldest, s",
+                feed,
+                Budget::Most(1.0),
+                fault(KILL, "age_max_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "time until all follow two again, s",
+                feed,
+                Budget::Most(FOLLOW_S),
+                fault(KILL, "follow_max_s"),
+                "feed",
+            ),
+            ask(
+                control,
+                "peak, bytes a second",
+                feed,
+                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                fault(KILL, "peak_control_bytes_s"),
+                "feed: paced copies",
+            ),
+        ],
+        "burst" => {
+            let burst = || vec![Over::Size(Axis::Changes, BURST)];
+            let mut rows = Vec::new();
+            for (mode, side, by) in [(Mode::Shared, shared, "fleet"), (Mode::Feed, feed, "feed")] {
+                rows.extend([
+                    ask(
+                        router,
+                        "bytes in and out a second at 10 changes a second",
+                        side,
+                        Budget::Most(ROUTER_BYTES_S),
+                        calm(PLAYED, mode, ROUTER_BYTES, burst()),
+                        by,
+                    ),
+                    ask(
+                        router,
+                        "time until a change of a database is known to all, s",
+                        side,
+                        Budget::Most(CHANGE_S),
+                        calm(PLAYED, mode, "change_known_max_s", burst()),
+                        by,
+                    ),
+                ]);
+            }
+            rows.push(ask(
+                control,
+                "bytes in and out a second at 10 changes a second",
+                feed,
+                Budget::Most(CONTROL_BYTES_S),
+                calm(PLAYED, Mode::Feed, CONTROL_BYTES, burst()),
+                "feed",
+            ));
+            rows.push(ask(
+                router,
+                "time until a change of configuration is in force, s",
+                any,
+                Budget::Most(IN_FORCE_S),
+                Source::Nothing,
+                "none: files and SIGHUP",
+            ));
+            rows
+        }
+        "later" => vec![
+            ask(
+                router,
+                "configuration in force everywhere, s",
+                any,
+                Budget::Most(IN_FORCE_S),
+                Source::Nothing,
+                "none",
+            ),
+            ask(
+                router,
+                "leases and revisions: how long a revoked one is still acted on, s",
+                any,
+                Budget::None,
+                Source::Nothing,
+                "none",
+            ),
+            ask(
+                discovery,
+                "lists in parts: bytes of a list's change to one router",
+                any,
+                Budget::None,
+                Source::Nothing,
+                "none",
+            ),
+            ask(
+                connection,
+                "forwarders: bytes of one that waits idle",
+                any,
+                Budget::None,
+                Source::Nothing,
+                "none",
+            ),
+        ],
+        _ => Vec::new(),
+    }
+}
+
+/// An entry of the list in the stand-in's form, with a comma: an address, a group and a start as long as they get.
+fn entry_bytes() -> f64 {
+    let address = SocketAddr::from(([127, 255, 255, 255], u16::MAX));
+    let started = Duration::from_secs(1_800_000_000);
+    (listing::target(address, DATABASES as u64, started, false).to_string().len() + 1) as f64
+}
+
+/// The longest letter.
+const LETTER: f64 = 1_200.0;
+
+/// A router in calm, where its databases are known by that way.
+fn of_a_router(mode: Mode, side: Side, mechanism: &'static str) -> Vec<Ask> {
+    let figures = [
+        ("bytes in and out a second", ROUTER_BYTES, Budget::Most(ROUTER_BYTES_S)),
+        ("messages in and out a second", ROUTER_MESSAGES, Budget::None),
+        ("processor time of control, cores", "router_cpu_part", Budget::Most(ROUTER_CPU)),
+        ("memory of control, bytes", "router_memory_bytes", Budget::Most(ROUTER_MEMORY)),
+        ("state of control, bytes", "router_state_bytes", Budget::Most(ROUTER_MEMORY)),
+        ("age of what is known, p99, s", "age_p99_s", Budget::Most(AGE_S)),
+        ("time until a change is known to all, s", "change_known_max_s", Budget::Most(CHANGE_S)),
+    ];
+    let over = || vec![Over::Size(Axis::Routers, ROUTERS), Over::Size(Axis::Databases, DATABASES)];
+    let ask = |(what, figure, budget)| Ask {
+        role: "router",
+        what,
+        side,
+        budget,
+        source: Source::Calm { record: PLAYED, mode, figure, over: over() },
+        mechanism,
+    };
+    figures.into_iter().map(ask).collect()
+}
--- /dev/null
+++ b/crates/rig/src/capacity/rows.rs
@@ -0,0 +1,322 @@
+//! A question and the records become rows of a table.
+
+use super::Books;
+use super::asks::{Ask, Budget, DATABASES, Over, PLAYED, ROUTERS, Side, Source};
+use super::numbers::{down, part, show, up};
+use crate::fit;
+use crate::record::{Axis, Fit, Form, Line, Mode, Sizes};
+
+/// A line of a table, in words.
+#[derive(Clone)]
+pub struct Row {
+    pub role: &'static str,
+    pub what: &'static str,
+    at: String,
+    sum: String,
+    pub figure: Option<f64>,
+    budget: Option<f64>,
+    pub basis: String,
+    error: String,
+    pub record: String,
+    pub mechanism: &'static str,
+}
+
+const NO_FIGURE: &str = "–";
+pub const HEAD: &str = "| role | what | at | sum | figure | budget | ratio | basis | error | record | mechanism |\n\
+     | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+
+/// A fit's curve as it is shown: what falls with size counts at its most, and is not carried on.
+#[derive(Clone, Copy)]
+struct Curve {
+    form: Form,
+    offset: f64,
+    slope: f64,
+}
+
+impl Curve {
+    fn of(fit: &Fit, points: &[fit::Point]) -> Self {
+        let most = points.iter().map(|point| point.mean).fold(0.0, f64::max);
+        let (form, offset, slope) = match fit.slope {
+            slope if slope < 0.0 => (Form::Constant, most, 0.0),
+            slope => (fit.form, fit.offset, slope),
+        };
+        let least = most * 1e-9;
+        Self { form, offset: if offset.abs() < least { 0.0 } else { up(offset, 6) }, slope: up(slope, 6) }
+    }
+
+    fn at(&self, size: f64) -> f64 {
+        self.offset + self.slope * fit::value(self.form, size)
+    }
+}
+
+/// A calm figure at one size of one axis.
+struct Single {
+    row: Row,
+    curve: Option<Curve>,
+    held: Option<Sizes>,
+    size: f64,
+}
+
+fn held(sizes: &Sizes, axis: Axis) -> String {
+    let mut told = Vec::new();
+    if axis != Axis::Routers {
+        told.push(format!("{} routers", show(sizes.routers as f64)));
+    }
+    if axis != Axis::Databases {
+        told.push(format!("{} databases", show(sizes.databases as f64)));
+    }
+    if sizes.control > 0 {
+        told.push(format!("{} instances", sizes.control));
+    }
+    if sizes.period_s > 0.0 {
+        told.push(format!("period {} s", show(sizes.period_s)));
+    }
+    told.join(", ")
+}
+
+fn prefix(sizes: &Sizes) -> &'static str {
+    if is_simulated(sizes) { "simulated: " } else { "" }
+}
+
+/// Whether no process took part.
+pub fn is_simulated(sizes: &Sizes) -> bool {
+    sizes.real == 0 && sizes.hollow_processes == 0
+}
+
+fn empty(ask: &Ask) -> Row {
+    let budget = match ask.budget {
+        Budget::Most(most) => Some(down(most, 6)),
+        _ => None,
+    };
+    Row {
+        role: ask.role,
+        what: ask.what,
+        at: NO_FIGURE.to_string(),
+        sum: NO_FIGURE.to_string(),
+        figure: None,
+        budget,
+        basis: "not measured".to_string(),
+        error: NO_FIGURE.to_string(),
+        record: NO_FIGURE.to_string(),
+        mechanism: ask.mechanism,
+    }
+}
+
+fn single(
+    ask: &Ask,
+    books: &Books,
+    (record, mode, figure): (&str, Mode, &str),
+    over: Over,
+    others: &[Over],
+) -> Single {
+    let lines = books.lines(record);
+    let (axis, wanted) = match over {
+        Over::Size(axis, size) => (axis, size),
+        Over::Share(size) => (Axis::Routers, size),
+    };
+    let mut row = empty(ask);
+    row.record = format!("{record}: {figure}, {}, over {}", mode.name(), axis.name());
+    row.at = format!("{} {}", show(up(wanted, 6)), axis.name());
+    let Some(played) = fit::points(lines, axis, mode, figure) else {
+        row.error = "no run".to_string();
+        return Single { row, curve: None, held: None, size: wanted };
+    };
+    let held_at = played.held;
+    let instances = held_at.control as f64;
+    let size = if let Over::Share(each) = over { each * instances } else { wanted };
+    row.at = match over {
+        Over::Share(each) => {
+            format!("{} routers an instance, {} before {instances}", show(up(each, 6)), show(up(size, 6)))
+        }
+        Over::Size(..) => format!("{} {}", show(size), axis.name()),
+    };
+    row.at = format!("{}; {} held", row.at, held(&held_at, axis));
+    let prefix = prefix(&held_at);
+    let done = |row, curve| Single { row, curve, held: Some(held_at.clone()), size };
+    let fit = match fit::fit(lines, axis, mode, figure) {
+        Ok(fit) => Some(fit),
+        Err(fit::Unfit::TooFew { sizes, .. }) => {
+            row.error = format!("sizes played: {sizes}, needed: {}", fit::FEWEST_SIZES);
+            None
+        }
+        Err(fit::Unfit::Numbers { .. }) => {
+            row.error = "no fit".to_string();
+            None
+        }
+    };
+    let curve = fit.as_ref().filter(|fit| fit.is_usable()).map(|fit| Curve::of(fit, &played.points));
+    if let Some(point) = played.points.iter().find(|point| point.size == size) {
+        row.sum = "played".to_string();
+        row.figure = Some(up(point.most, 3));
+        row.basis = format!("{prefix}measured").replace("simulated: measured", "simulated");
+        row.error = NO_FIGURE.to_string();
+        return done(row, curve);
+    }
+    let Some(fit) = fit else { return done(row, None) };
+    let missed = if fit.predicted < fit.played { "under" } else { "over" };
+    row.error = format!("{missed} by {} at {}", show(part(fit.error)), show(fit.largest));
+    let Some(curve) = curve else {
+        row.error += ": the form is wrong";
+        return done(row, None);
+    };
+    if fit.slope < 0.0 {
+        row.error += "; falls, held at its most";
+    }
+    let (offset, slope) = (show(curve.offset), show(curve.slope));
+    let mut place = size;
+    row.sum = match curve.form {
+        Form::Constant => offset,
+        Form::Log => format!("{offset} + {slope} × ln {}", show(size)),
+        Form::Linear => format!("{offset} + {slope} × {}", show(size)),
+        Form::Square => format!("{offset} + {slope} × {}²", show(size)),
+        Form::Product => {
+            let other = if axis == Axis::Routers { Axis::Databases } else { Axis::Routers };
+            let wanted = others.iter().find_map(|over| match over {
+                Over::Size(axis, size) if *axis == other => Some(*size),
+                Over::Share(each) if other == Axis::Routers => Some(each * instances),
+                _ => None,
+            });
+            let factor = wanted.unwrap_or_else(|| fit::size(&held_at, other));
+            place = size * factor;
+            row.at = format!("{} {}, {} {}", show(size), axis.name(), show(factor), other.name());
+            format!("{offset} + {slope} × {} × {}", show(size), show(factor))
+        }
+    };
+    row.figure = Some(up(curve.at(place), 3));
+    row.basis = format!("{prefix}predicted");
+    done(row, Some(curve))
+}
+
+/// Both axes at once: what each adds to the figure where both were held, and the most that may grow with both together,
+/// which no run along the axes shows. If that is `c` times the one form times the other, neither slope can be less than
+/// its share of it.
+fn together(one: &Single, other: &Single) -> Option<Row> {
+    let (first, second) = (one.curve?, other.curve?);
+    if first.form == Form::Product || second.form == Form::Product {
+        return None;
+    }
+    let held = (one.held.as_ref()?, other.held.as_ref()?);
+    let from = (held.1.routers as f64, held.0.databases as f64);
+    let base = down(first.at(from.0).min(second.at(from.1)), 6);
+    let (left, right) = (one.row.figure?, other.row.figure?);
+    let growth = |curve: Curve, from: f64, to: f64| {
+        let from = fit::value(curve.form, from);
+        if from > 0.0 { (fit::value(curve.form, to) - from) / from } else { 0.0 }
+    };
+    let by_second = (left - base).max(0.0) * growth(second, from.1, other.size);
+    let by_first = (right - base).max(0.0) * growth(first, from.0, one.size);
+    let both = up(by_second.min(by_first).max(0.0), 6);
+    let mut row = one.row.clone();
+    row.at = format!("{} and {}", one.row.at.split(';').next()?, other.row.at.split(';').next()?);
+    row.sum = format!("{} + {} + {} − {}", show(left), show(right), show(both), show(base));
+    row.figure = Some(up(left + right + both - base, 3));
+    row.basis = format!("{}computed", prefix(held.0));
+    row.error = NO_FIGURE.to_string();
+    row.record = format!("{} and databases", one.row.record);
+    Some(row)
+}
+
+/// The rows of a question.
+pub fn rows(ask: &Ask, books: &Books) -> Vec<Row> {
+    match &ask.source {
+        Source::Calm { record, mode, figure, over } => {
+            let singles: Vec<Single> =
+                over.iter().map(|size| single(ask, books, (record, *mode, figure), *size, over)).collect();
+            if let [one, other] = singles.as_slice() {
+                if one.held.is_none() && other.held.is_none() {
+                    let mut row = one.row.clone();
+                    row.at = format!("{}, {}", one.row.at, other.row.at);
+                    row.record += " and databases";
+                    return vec![row];
+                }
+                let both = together(one, other);
+                return singles.into_iter().map(|single| single.row).chain(both).collect();
+            }
+            singles.into_iter().map(|single| single.row).collect()
+        }
+        Source::Fault { fault, figure } => vec![of_fault(ask, books, fault, figure)],
+        Source::Computed { factors, by, from } => {
+            let mut row = empty(ask);
+            let product: Vec<String> = factors.iter().map(|factor| show(up(*factor, 6))).collect();
+            row.sum = product.join(" × ");
+            if *by != 1.0 {
+                row.sum += &format!(" / {}", show(*by));
+            }
+            let all: f64 = factors.iter().map(|factor| up(*factor, 6)).product();
+            row.figure = Some(up(all / by, 3));
+            row.basis = "computed".to_string();
+            row.record = (*from).to_string();
+            row.at = "the target".to_string();
+            vec![row]
+        }
+        Source::Nothing => vec![empty(ask)],
+    }
+}
+
+fn of_fault(ask: &Ask, books: &Books, fault: &str, figure: &str) -> Row {
+    let mode = if ask.side == Side::Shared { Mode::Shared } else { Mode::Feed };
+    let mut row = empty(ask);
+    row.record = format!("{PLAYED}: {figure}, {}, {fault}", mode.name());
+    row.error = "no run".to_string();
+    let lines = books.lines(PLAYED);
+    let runs = |fault: Option<&str>, figure: &str| -> Vec<(Sizes, f64)> {
+        let run = |line: &Line| match line {
+            Line::Run { fault: is, sizes, figures, .. } if is.as_deref() == fault && sizes.mode == mode => {
+                Some((sizes.clone(), fit::figure(figures, figure)?))
+            }
+            _ => None,
+        };
+        lines.iter().filter_map(run).collect()
+    };
+    let place = |sizes: &Sizes| (sizes.routers, sizes.databases, sizes.control);
+    let played = runs(Some(fault), figure);
+    let Some((largest, _)) = played.iter().max_by_key(|(sizes, _)| sizes.routers * sizes.databases) else {
+        return row;
+    };
+    let most = played
+        .iter()
+        .filter(|(sizes, _)| place(sizes) == place(largest))
+        .map(|(_, is)| *is)
+        .fold(f64::MIN, f64::max);
+    row.figure = Some(up(most, 3));
+    row.sum = "played".to_string();
+    row.error = NO_FIGURE.to_string();
+    row.at = format!(
+        "{} routers, {} databases, {} instances",
+        show(largest.routers as f64),
+        show(largest.databases as f64),
+        largest.control
+    );
+    let is_whole = largest.routers as f64 >= ROUTERS && largest.databases as f64 >= DATABASES;
+    row.basis = if is_whole { "measured" } else { "measured below the target" }.to_string();
+    if let Budget::TimesCalm(times, figure) = ask.budget {
+        let calm = runs(None, figure);
+        let calm = calm.iter().filter(|(sizes, _)| place(sizes) == place(largest)).map(|(_, is)| *is);
+        row.budget = calm.reduce(f64::min).map(|least| down(least * times, 3));
+    }
+    row
+}
+
+impl Row {
+    pub fn ratio(&self) -> Option<f64> {
+        Some(up(self.figure? / self.budget?, 3))
+    }
+
+    pub fn line(&self) -> String {
+        let number = |is: Option<f64>| is.map_or(NO_FIGURE.to_string(), show);
+        let budget = self.budget.map_or("none named".to_string(), show);
+        format!(
+            "| {} | {} | {} | {} | {} | {budget} | {} | {} | {} | {} | {} |\n",
+            self.role,
+            self.what,
+            self.at,
+            self.sum,
+            number(self.figure),
+            number(self.ratio()),
+            self.basis,
+            self.error,
+            self.record,
+            self.mechanism,
+        )
+    }
+}
--- /dev/null
+++ b/crates/rig/src/capacity/tables.rs
@@ -0,0 +1,153 @@
+//! The page's tables, in Markdown.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+
+use super::Books;
+use super::asks::{Over, SECTIONS, Side, Source, asks};
+use super::numbers::{part, show, up};
+use super::rows::{HEAD, Row, rows};
+use crate::fit::{self, MOST_ERROR};
+use crate::record::{self, Axis, Form, Line, Mode, Sizes};
+
+/// The rows of a section.
+pub fn table(section: &str, books: &Books) -> String {
+    let lines = asks(section).into_iter().flat_map(|ask| rows(&ask, books)).map(|row| row.line());
+    HEAD.to_string() + &lines.collect::<String>()
+}
+
+/// What is over its budget, the worst first, and what nobody knows.
+pub fn missing(sides: &[Side], books: &Books) -> String {
+    let (mut over, mut unknown) = (Vec::<(f64, &str, Row)>::new(), Vec::new());
+    for (section, when) in SECTIONS {
+        for ask in asks(section).iter().filter(|ask| sides.contains(&ask.side)) {
+            let rows = rows(ask, books);
+            let worst = rows.iter().filter_map(|row| Some((row.ratio()?, row)));
+            match worst.max_by(|one, other| one.0.total_cmp(&other.0)) {
+                Some((ratio, row)) if ratio > 1.0 => over.push((ratio, when, row.clone())),
+                Some(_) => {}
+                None if rows.iter().all(|row| row.figure.is_none()) => {
+                    unknown.push(format!("{}: {} ({when})", ask.role, ask.what));
+                }
+                None => {}
+            }
+        }
+    }
+    over.sort_by(|one, other| other.0.total_cmp(&one.0));
+    let mut told =
+        "| ratio | role | what | when | basis | mechanism |\n| --- | --- | --- | --- | --- | --- |\n"
+            .to_string();
+    for (ratio, when, row) in &over {
+        let ratio = show(*ratio);
+        _ = writeln!(
+            told,
+            "| {ratio} | {} | {} | {when} | {} | {} |",
+            row.role, row.what, row.basis, row.mechanism
+        );
+    }
+    match over.first() {
+        Some((ratio, when, row)) => {
+            let (ratio, by) = (show(*ratio), &row.record);
+            _ = writeln!(
+                told,
+                "\nFirst: {} of a {}, {when}: {ratio} times its budget ({}; {by}).",
+                row.what, row.role, row.basis
+            );
+        }
+        None => told += "\nNothing that is known is over its budget.\n",
+    }
+    if !unknown.is_empty() {
+        _ = writeln!(told, "\nNot measured: {}.", unknown.join("; "));
+    }
+    told
+}
+
+/// The fits that the rows look at, each once.
+pub fn slopes(books: &Books) -> String {
+    let mut told = "| record | figure | mode | over | form | slope | offset | fitted | residual | spread | largest | predicted | played | error | used |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
+        .to_string();
+    let mut seen = BTreeSet::new();
+    for (section, _) in SECTIONS {
+        for ask in asks(section) {
+            let Source::Calm { record, mode, figure, over } = ask.source else { continue };
+            for over in over {
+                let axis = if let Over::Size(axis, _) = over { axis } else { Axis::Routers };
+                let Ok(fit) = fit::fit(books.lines(record), axis, mode, figure) else { continue };
+                if !seen.insert((record, figure, mode, axis)) {
+                    continue;
+                }
+                let form = match fit.form {
+                    Form::Constant => "constant",
+                    Form::Log => "ln n",
+                    Form::Linear => "n",
+                    Form::Square => "n²",
+                    Form::Product => "n·m",
+                };
+                let [slope, offset] = [fit.slope, fit.offset].map(|is| show(up(is, 6)));
+                let [residual, spread, error] =
+                    [fit.residual, fit.spread, fit.error].map(|is| show(part(is)));
+                let [predicted, played] = [fit.predicted, fit.played].map(|is| show(up(is, 4)));
+                let used = if fit.error <= MOST_ERROR { "yes" } else { "no" };
+                _ = writeln!(
+                    told,
+                    "| {record} | {figure} | {} | {} | {form} | {slope} | {offset} | {} | {residual} | {spread} | {} | {predicted} | {played} | {error} | {used} |",
+                    mode.name(),
+                    axis.name(),
+                    fit.points,
+                    show(fit.largest),
+                );
+            }
+        }
+    }
+    told
+}
+
+/// What was played, and which bounds of a run were broken.
+pub fn runs(books: &Books) -> String {
+    let mut told = "| record | mode | fault | runs | routers | databases | instances | bounds broken |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- |\n"
+        .to_string();
+    for (record, lines) in &books.0 {
+        let mut groups = BTreeMap::<(Mode, &str), Vec<(&Sizes, &[record::Bound])>>::new();
+        for line in lines {
+            if let Line::Run { fault, sizes, bounds, .. } = line {
+                groups
+                    .entry((sizes.mode, fault.as_deref().unwrap_or("calm")))
+                    .or_default()
+                    .push((sizes, bounds));
+            }
+        }
+        for ((mode, fault), runs) in groups {
+            let span = |of: fn(&Sizes) -> usize| {
+                let (least, most) = runs.iter().fold((usize::MAX, 0), |(low, high), (sizes, _)| {
+                    (low.min(of(sizes)), high.max(of(sizes)))
+                });
+                if least == most {
+                    show(most as f64)
+                } else {
+                    format!("{} to {}", show(least as f64), show(most as f64))
+                }
+            };
+            let broken = runs.iter().flat_map(|(sizes, bounds)| {
+                bounds.iter().filter(|bound| !bound.held).map(|bound| {
+                    let (routers, databases) = (show(sizes.routers as f64), show(sizes.databases as f64));
+                    let [is, most] = [bound.is, bound.most].map(|is| show(up(is, 4)));
+                    format!("{} {is} for {most} at {routers} × {databases}", bound.figure)
+                })
+            });
+            let broken: Vec<String> = broken.collect();
+            let broken = if broken.is_empty() { "none".to_string() } else { broken.join("; ") };
+            _ = writeln!(
+                told,
+                "| {record} | {} | {fault} | {} | {} | {} | {} | {broken} |",
+                mode.name(),
+                runs.len(),
+                span(|sizes| sizes.routers),
+                span(|sizes| sizes.databases),
+                span(|sizes| sizes.control),
+            );
+        }
+    }
+    told
+}
--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -5,8 +5,8 @@
 //! predicted from the others, and the form with the least error is taken. A slope must earn its place: it is dropped
 //! for a constant unless it takes a fifth off the constant's error.
 //!
-//! Routers times databases looks like routers alone while databases are held, so it is weighed only where routers or
-//! databases alone would be taken, against the points of both axes together.
+//! Runs along the axes cannot tell routers times databases from a sum of both. Where the points of both axes lie on one
+//! product as well as on a sum, with its further slope, it is taken for the product, which asks for more.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,6 +29,9 @@
     "control_messages_in_s+control_messages_out_s",
 ];
 
+/// What is left of an error by the binary form of numbers.
+const EXACT: f64 = 1e-9;
+
 /// Why nothing is fitted.
 #[derive(Debug, PartialEq, thiserror::Error)]
 pub enum Unfit {
@@ -46,6 +49,7 @@
     pub databases: f64,
     /// Of its runs.
     pub mean: f64,
+    pub most: f64,
     /// Half the distance between the least and the most, as a part of the mean.
     pub spread: f64,
     pub runs: usize,
@@ -139,6 +143,7 @@
             routers: sizes.routers as f64,
             databases: sizes.databases as f64,
             mean,
+            most,
             spread: off((most - least) / 2.0, mean),
             runs: runs.len(),
         }
@@ -186,6 +191,30 @@
     Ok(off((squares / points.len() as f64).sqrt(), mean))
 }
 
+/// As [`left_out`], of a sum of a line over routers and one over databases.
+fn left_out_of_sum(points: &[Point]) -> Result<f64, linregress::Error> {
+    let most = |size: fn(&Point) -> f64| points.iter().map(size).fold(f64::MIN_POSITIVE, f64::max);
+    let (routers, databases) = (most(|point| point.routers), most(|point| point.databases));
+    let row = |point: &Point| [1.0, point.routers / routers, point.databases / databases];
+    let mut squares = 0.0;
+    for (place, point) in points.iter().enumerate() {
+        let others = points.iter().enumerate().filter(|(other, _)| *other != place);
+        let rows: Vec<f64> =
+            others.flat_map(|(_, other)| std::iter::once(other.mean).chain(row(other))).collect();
+        let found = least_squares(&rows, points.len() - 1, 4)?;
+        let is: f64 = found.iter().zip(row(point)).map(|(slope, size)| slope * size).sum();
+        squares += (is - point.mean).powi(2);
+    }
+    let mean = points.iter().map(|point| point.mean.abs()).sum::<f64>() / points.len() as f64;
+    Ok(off((squares / points.len() as f64).sqrt(), mean))
+}
+
+/// Whether a product does as well as a sum, whose second slope must earn its place too.
+fn is_product(product: &[(f64, f64)], points: &[Point]) -> Result<bool, linregress::Error> {
+    let error = left_out(Form::Product, product)?;
+    Ok(error < EXACT || left_out_of_sum(points)? >= error * WORTH_A_SLOPE)
+}
+
 /// The form that predicts best what is left out.
 fn best(points: &[(f64, f64)]) -> Result<Form, linregress::Error> {
     let constant = left_out(Form::Constant, points)?;
@@ -231,17 +260,10 @@
             .map_or(Vec::new(), |points| points.points);
         let mut both = fitted.to_vec();
         both.extend_from_slice(&others[..others.len().saturating_sub(1)]);
-        let over =
-            |size: fn(&Point) -> f64| both.iter().map(|point| (size(point), point.mean)).collect::<Vec<_>>();
-        let product = over(|point| point.routers * point.databases);
-        let alone =
-            if axis == Axis::Routers { over(|point| point.routers) } else { over(|point| point.databases) };
-        // Without sizes of the other axis there is nothing that could tell them apart.
-        let two = others.len() >= FEWEST_SIZES;
-        if two
-            && left_out(Form::Product, &product).map_err(numbers)?
-                < left_out(Form::Linear, &alone).map_err(numbers)?
-        {
+        let product: Vec<_> =
+            both.iter().map(|point| (point.routers * point.databases, point.mean)).collect();
+        // Without sizes of the other axis there is nothing that could tell.
+        if others.len() >= FEWEST_SIZES && is_product(&product, &both).map_err(numbers)? {
             (form, chosen, at) = (Form::Product, product, largest.routers * largest.databases);
         }
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,8 +3,10 @@
 //! A [`store::Store`] plays a group of nodes and keeps the books of what reached them; [`listing::Listing`] plays
 //! discovery; [`relay::Relay`] loses datagrams as it is told; [`routers::Routers`] starts, kills and stops processes;
 //! [`load::Load`] asks as clients do, and counts how each RPC ended. Nothing here decides anything for a router.
-//! [`record`] is what a scale run leaves, and [`fit`] what its figures say of other sizes.
+//! [`record`] is what a scale run leaves, and [`fit`] what its figures say of other sizes; [`capacity`] makes the
+//! tables of a page of them.
 
+pub mod capacity;
 pub mod fit;
 pub mod listing;
 pub mod load;
--- a/crates/rig/src/listing.rs
+++ b/crates/rig/src/listing.rs
@@ -17,15 +17,19 @@
     pub started: Duration,
 }
 
+/// An entry in discovery's form.
+pub fn target(address: SocketAddr, group: u64, started: Duration, primary: bool) -> Json {
+    json!({
+        "uid": format!("s-{}", address.port()), "endpoint": address, "az": "a", "model": "m",
+        "pod_group": group, "state": "in_service", "capacity_hint": 1.0,
+        "boot_ms": started.as_millis() as u64, "role": if primary { "primary" } else { "replica" },
+    })
+}
+
 /// The list's entries in discovery's form.
 pub fn targets(entries: &[Entry<'_>]) -> Json {
-    let entry = |entry: &Entry<'_>| {
-        json!({
-            "uid": format!("s-{}", entry.node.address.port()), "endpoint": entry.node.address, "az": "a", "model": "m",
-            "pod_group": entry.group, "state": "in_service", "capacity_hint": 1.0,
-            "boot_ms": entry.started.as_millis() as u64, "role": if entry.node.primary { "primary" } else { "replica" },
-        })
-    };
+    let entry =
+        |entry: &Entry<'_>| target(entry.node.address, entry.group, entry.started, entry.node.primary);
     entries.iter().map(entry).collect()
 }
 
--- /dev/null
+++ b/crates/rig/tests/capacity.rs
@@ -0,0 +1,683 @@
+//! docs/CAPACITY.md is what its records say: made anew it is the same, and each row, read as a reader would, holds by
+//! itself. The checks of rows share nothing with the generator but the fit; that they can fail is shown on records made
+//! up for it.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use pulldown_cmark::{Event, Options, Parser, Tag, TagEnd};
+use quillpoint_rig::capacity::asks::{CONNECTIONS, DATABASES, PLAYED, ROUTERS, SIMULATED};
+use quillpoint_rig::capacity::fill;
+use quillpoint_rig::capacity::numbers::{show, up};
+use quillpoint_rig::fit::{MOST_ERROR, fit, fit_all};
+use quillpoint_rig::record::{Axis, Fit, Form, Line, Mode, Sizes, read, write};
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page() -> String {
+    std::fs::read_to_string(repository().join("docs/CAPACITY.md")).expect("the page")
+}
+
+/// All tables, rows as cells in words.
+fn tables(page: &str) -> Vec<Vec<Vec<String>>> {
+    let mut tables = Vec::new();
+    let mut cell = String::new();
+    for event in Parser::new_ext(page, Options::ENABLE_TABLES) {
+        match event {
+            Event::Start(Tag::Table(_)) => tables.push(Vec::new()),
+            Event::Start(Tag::TableHead | Tag::TableRow) => {
+                if let Some(table) = tables.last_mut() {
+                    table.push(Vec::new());
+                }
+            }
+            Event::Start(Tag::TableCell) => cell.clear(),
+            Event::Text(text) | Event::Code(text) => cell.push_str(&text),
+            Event::End(TagEnd::TableCell) => {
+                if let Some(row) = tables.last_mut().and_then(|table: &mut Vec<Vec<String>>| table.last_mut())
+                {
+                    row.push(cell.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+    tables
+}
+
+/// The rows that say what a role costs, by their headings.
+fn rows(page: &str) -> Vec<BTreeMap<String, String>> {
+    let mut all = Vec::new();
+    for table in tables(page) {
+        let (head, rows) = table.split_first().expect("a head");
+        if head.first().is_some_and(|first| first == "role") {
+            all.extend(rows.iter().map(|row| head.iter().cloned().zip(row.iter().cloned()).collect()));
+        }
+    }
+    all
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.trim().replace(',', "").replace('−', "-").parse().ok()
+}
+
+/// `a × b × c / d`, a factor being a number, `ln n` or `n²`.
+fn term(text: &str) -> Option<f64> {
+    let (product, by) = text.split_once(" / ").unwrap_or((text, "1"));
+    let factor = |factor: &str| {
+        if let Some(of) = factor.strip_prefix("ln ") {
+            return Some(number(of)?.ln());
+        }
+        match factor.strip_suffix('²') {
+            Some(of) => Some(number(of)?.powi(2)),
+            None => number(factor),
+        }
+    };
+    let factors: Option<Vec<f64>> = product.split(" × ").map(factor).collect();
+    Some(factors?.into_iter().product::<f64>() / number(by)?)
+}
+
+fn sum(text: &str) -> Option<f64> {
+    let (plus, minus) = text.split_once(" − ").unwrap_or((text, "0"));
+    Some(plus.split(" + ").map(term).sum::<Option<f64>>()? - number(minus)?)
+}
+
+/// Not less than it is, and not more than rounding up to three digits makes it.
+fn is_up(shown: f64, is: f64) -> bool {
+    shown >= is - is.abs() * 1e-9 && shown <= is + is.abs() * 0.0101 + 1e-12
+}
+
+/// `file: figure, mode, where`.
+fn cited(text: &str) -> Option<(&str, &str, Mode, &str)> {
+    let (file, rest) = text.split_once(": ")?;
+    let mut parts = rest.splitn(3, ", ");
+    let (figure, mode, place) = (parts.next()?, parts.next()?, parts.next()?);
+    Some((file, figure, Mode::ALL.into_iter().find(|known| known.name() == mode)?, place))
+}
+
+fn is_of_processes(sizes: &Sizes) -> bool {
+    sizes.real + sizes.hollow_processes > 0
+}
+
+fn of_run(line: &Line) -> Option<(Option<&str>, &Sizes, &BTreeMap<String, f64>)> {
+    match line {
+        Line::Run { fault, sizes, figures, .. } => Some((fault.as_deref(), sizes, figures)),
+        Line::Fit(_) => None,
+    }
+}
+
+fn figure(figures: &BTreeMap<String, f64>, name: &str) -> Option<f64> {
+    name.split('+').map(|name| figures.get(name)).sum()
+}
+
+fn size(sizes: &Sizes, axis: Axis) -> f64 {
+    match axis {
+        Axis::Routers => sizes.routers as f64,
+        Axis::Databases => sizes.databases as f64,
+        Axis::Connections => sizes.connections as f64,
+        Axis::Statements => sizes.statements,
+        Axis::Changes => sizes.changes,
+    }
+}
+
+/// The number before a word, as in `7,900 routers`.
+fn before(text: &str, word: &str) -> Option<f64> {
+    let at = text.find(&format!(" {word}"))?;
+    number(text[..at].rsplit(' ').next()?)
+}
+
+/// What is wrong with a page beside the records of a folder: one line for each fault.
+fn faults(page: &str, folder: &Path) -> Vec<String> {
+    let rows = rows(page);
+    let mut faults = Vec::new();
+    if rows.len() < 20 {
+        faults.push(format!("{} rows are too few to be the page's", rows.len()));
+    }
+    for (place, row) in rows.iter().enumerate() {
+        let cell = |name: &str| row.get(name).map_or("", String::as_str);
+        let about = format!("{}: {}, {}", cell("role"), cell("what"), cell("at"));
+        if let Err(fault) = check(row, &rows[..place], folder) {
+            faults.push(format!("{about}: {fault}"));
+        }
+    }
+    faults
+}
+
+fn check(
+    row: &BTreeMap<String, String>,
+    earlier: &[BTreeMap<String, String>],
+    folder: &Path,
+) -> Result<(), String> {
+    let cell = |name: &str| row.get(name).map(String::as_str).ok_or_else(|| format!("no column {name}"));
+    let ensure = |holds: bool, told: &str| if holds { Ok(()) } else { Err(told.to_string()) };
+    ensure(!cell("mechanism")?.is_empty(), "a mechanism, or none, must be named")?;
+    let (basis, shown) = (cell("basis")?, number(cell("figure")?));
+    if basis == "not measured" {
+        let nothing = shown.is_none() && number(cell("ratio")?).is_none() && sum(cell("sum")?).is_none();
+        return ensure(nothing, "a figure of what nobody has measured");
+    }
+    let shown = shown.ok_or("no figure")?;
+    match number(cell("budget")?) {
+        Some(budget) => {
+            let ratio = number(cell("ratio")?).ok_or("no ratio")?;
+            ensure(is_up(ratio, shown / budget), "the ratio is not figure over budget, rounded up")?;
+        }
+        None => ensure(cell("budget")? == "none named", "no budget")?,
+    }
+    let kind = basis.strip_prefix("simulated: ").unwrap_or(basis);
+    if kind != "simulated" && !kind.starts_with("measured") {
+        let due = sum(cell("sum")?).ok_or("the sum cannot be read")?;
+        ensure(is_up(shown, due), "the figure is not its sum, rounded up")?;
+    }
+    if kind == "computed" && !cell("record")?.contains(".jsonl") {
+        let source = cell("record")?.split(',').next().unwrap_or_default();
+        return ensure(repository().join(source).is_file(), "the code that it is computed from is not there");
+    }
+    let (file, name, mode, place) = cited(cell("record")?).ok_or("the record is not named")?;
+    let lines = read(&folder.join(file)).map_err(|error| format!("the record cannot be read: {error}"))?;
+    let runs = || lines.iter().filter_map(of_run).filter(|(_, sizes, _)| sizes.mode == mode);
+    let with = || runs().filter_map(|(fault, sizes, figures)| Some((fault, sizes, figure(figures, name)?)));
+    ensure(with().next().is_some(), "the record has no such figure")?;
+    let by_processes = with().all(|(_, sizes, _)| is_of_processes(sizes));
+    ensure(by_processes != basis.starts_with("simulated"), "measured and simulated are mistaken")?;
+    if kind == "computed" {
+        return together(row, earlier, &lines, mode, name);
+    }
+    let Some(axis) = place.strip_prefix("over ") else {
+        let (routers, databases) = (before(cell("at")?, "routers"), before(cell("at")?, "databases"));
+        let is_there = |sizes: &Sizes| {
+            Some(sizes.routers as f64) == routers && Some(sizes.databases as f64) == databases
+        };
+        let most = with().filter(|(fault, sizes, _)| *fault == Some(place) && is_there(sizes));
+        let most =
+            most.map(|(.., is)| is).reduce(f64::max).ok_or("that fault was not played at that size")?;
+        let whole = routers >= Some(ROUTERS) && databases >= Some(DATABASES);
+        ensure(whole == (kind == "measured"), "it is not said whether this is the target's size")?;
+        return ensure(is_up(shown, most), "the figure is not what was played");
+    };
+    let axis = Axis::ALL.into_iter().find(|known| known.name() == axis).ok_or("no such axis")?;
+    if kind == "measured" || kind == "simulated" {
+        let at = before(cell("at")?, axis.name()).ok_or("no size")?;
+        let played = with().filter(|(fault, sizes, _)| fault.is_none() && size(sizes, axis) == at);
+        let played: Vec<f64> = played.map(|(.., is)| is).collect();
+        ensure(!played.is_empty(), "its record did not play that size")?;
+        return ensure(played.iter().any(|is| is_up(shown, *is)), "the figure is not what was played");
+    }
+    ensure(kind == "predicted", "no such basis")?;
+    let fit = fit(&lines, axis, mode, name).map_err(|error| error.to_string())?;
+    let near = |one: f64, other: f64| (one - other).abs() <= 1e-9 * one.abs().max(1e-9);
+    let is_written = lines.iter().any(|line| {
+        matches!(line, Line::Fit(other) if (other.axis, other.mode, &other.figure) == (axis, mode, &fit.figure)
+            && near(other.slope, fit.slope) && near(other.offset, fit.offset) && near(other.error, fit.error))
+    });
+    ensure(is_written, "the record's fit is not that of its runs")?;
+    ensure(fit.error <= MOST_ERROR, "the prediction rests on a form that is wrong")?;
+    let missed = cell("error")?.split_once(" by ").and_then(|(_, rest)| rest.split_once(" at "));
+    let missed = missed.and_then(|(by, _)| number(by)).ok_or("no error of the prediction")?;
+    ensure(missed >= fit.error - 1e-8 && missed <= fit.error + 0.001, "the error is not the fit's")?;
+    let terms: Vec<&str> = cell("sum")?.split(" + ").collect();
+    if fit.slope < 0.0 {
+        let most = with().filter(|(fault, ..)| fault.is_none()).map(|(.., is)| is).fold(0.0, f64::max);
+        let held = terms.len() == 1 && number(terms[0]).is_some_and(|is| is <= most * 1.00001);
+        return ensure(held, "what falls is not held at its most");
+    }
+    // An offset may be nothing beside the figure, and is then shown as nothing.
+    let is_near = |text: Option<f64>, is: f64, nothing: f64| {
+        text.is_some_and(|text| {
+            text >= is - is.abs() * 1e-9 - nothing && text <= is + is.abs() * 1.1e-5 + nothing
+        })
+    };
+    ensure(is_near(number(terms[0]), fit.offset, shown * 1e-9), "the offset is not the record's")?;
+    let slope = terms.get(1).and_then(|term| term.split_once(" × "));
+    let form = match slope {
+        None => Form::Constant,
+        Some((_, by)) if by.starts_with("ln ") => Form::Log,
+        Some((_, by)) if by.ends_with('²') => Form::Square,
+        Some((_, by)) if by.contains(" × ") => Form::Product,
+        Some(_) => Form::Linear,
+    };
+    ensure(form == fit.form, "the form is not the record's")?;
+    let slope = slope.map_or(Some(0.0), |(slope, _)| number(slope));
+    ensure(is_near(slope, fit.slope, 0.0), "the slope is not the record's")
+}
+
+/// A row of both axes: the two rows before it, what was there where both were held, and the most that may grow with both.
+fn together(
+    row: &BTreeMap<String, String>,
+    earlier: &[BTreeMap<String, String>],
+    lines: &[Line],
+    mode: Mode,
+    name: &str,
+) -> Result<(), String> {
+    let [.., one, other] = earlier else { return Err("no rows before it".to_string()) };
+    let parts: Vec<&str> = row["sum"].split(['+', '−']).map(str::trim).collect();
+    let [left, right, both, base] = parts[..] else { return Err("not four parts".to_string()) };
+    let is_of = |other: &BTreeMap<String, String>, figure: &str| {
+        other["role"] == row["role"] && other["what"] == row["what"] && other["figure"] == figure
+    };
+    if !is_of(one, left) || !is_of(other, right) {
+        return Err("it is not made of the two rows before it".to_string());
+    }
+    let told = |error: quillpoint_rig::fit::Unfit| error.to_string();
+    let routers = fit(lines, Axis::Routers, mode, name).map_err(told)?;
+    let databases = fit(lines, Axis::Databases, mode, name).map_err(told)?;
+    // Where both were held: either axis is held at what the other one's row names.
+    let held = |row: &BTreeMap<String, String>, axis| before(row["at"].split(';').nth(1)?, axis);
+    let (Some(held_routers), Some(held_databases)) = (held(other, "routers"), held(one, "databases")) else {
+        return Err("what was held is not said".to_string());
+    };
+    let at = |fit: &Fit, size: f64| {
+        if fit.slope < 0.0 { f64::MAX } else { fit.offset + fit.slope * form(fit.form, size) }
+    };
+    let was = at(&routers, held_routers).min(at(&databases, held_databases));
+    let [Some(left), Some(right), Some(both), Some(base)] = [left, right, both, base].map(number) else {
+        return Err("no numbers".to_string());
+    };
+    if base > was * 1.000_02 || (was < f64::MAX && base < was * 0.9999) {
+        return Err("the base is not what was there".to_string());
+    }
+    // The last number before the axis: of an instance's share, what it makes before those that were played.
+    let wanted = |row: &BTreeMap<String, String>, axis: &str| {
+        let size = row["at"].split(';').next()?;
+        match size.split_once(" routers an instance, ") {
+            Some((_, rest)) => number(rest.split(' ').next()?),
+            None => before(size, axis),
+        }
+    };
+    let (Some(to_routers), Some(to_databases)) = (wanted(one, "routers"), wanted(other, "databases")) else {
+        return Err("no sizes".to_string());
+    };
+    let growth = |fit: &Fit, from: f64, to: f64| match fit.form {
+        _ if fit.slope <= 0.0 => 0.0,
+        shape => form(shape, to) / form(shape, from) - 1.0,
+    };
+    let by_databases = (left - base).max(0.0) * growth(&databases, held_databases, to_databases);
+    let by_routers = (right - base).max(0.0) * growth(&routers, held_routers, to_routers);
+    let due = by_databases.min(by_routers).max(0.0);
+    if both < due * 0.999_999 || both > due * 1.000_1 + 1e-9 {
+        return Err(format!("what may grow with both is {due}"));
+    }
+    Ok(())
+}
+
+fn form(form: Form, size: f64) -> f64 {
+    match form {
+        Form::Constant => 0.0,
+        Form::Log => size.ln(),
+        Form::Linear | Form::Product => size,
+        Form::Square => size * size,
+    }
+}
+
+#[test]
+fn the_page_is_what_its_records_say() {
+    let made = fill(&page(), &repository().join("docs/measurements")).expect("the page can be made");
+    assert!(made == page(), "measure/capacity writes another page; run it");
+}
+
+#[test]
+fn each_row_of_the_page_holds_by_itself() {
+    let faults = faults(&page(), &repository().join("docs/measurements"));
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+#[test]
+fn the_page_names_every_role_and_every_occasion() {
+    let rows = rows(&page());
+    for role in ["router", "control machine", "discovery", "database", "client connection"] {
+        assert!(rows.iter().any(|row| row["role"] == role), "{role}");
+    }
+    for marker in
+        ["calm-shared", "calm-feed", "restarts", "zone", "region", "burst", "missing-today", "later"]
+    {
+        assert!(page().contains(&format!("<!-- begin {marker} -->")), "{marker}");
+    }
+}
+
+/// A folder of its own, gone with its owner.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("quillpoint-capacity-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn run(mode: Mode, routers: usize, databases: usize, fault: Option<&str>, figures: &[(&str, f64)]) -> Line {
+    Line::Run {
+        axis: None,
+        fault: fault.map(str::to_string),
+        sizes: Sizes {
+            mode,
+            routers,
+            real: 16,
+            hollow_processes: 4,
+            control: 2,
+            databases,
+            connections: 1000,
+            statements: 100.0,
+            changes: 0.2,
+            period_s: 0.15,
+            seed: 1,
+            seconds: 10.0,
+        },
+        figures: figures.iter().map(|(name, is)| ((*name).to_string(), *is)).collect(),
+        bounds: Vec::new(),
+    }
+}
+
+const SIZES: [usize; 5] = [250, 500, 1000, 2000, 4000];
+
+/// Runs in which bytes grow with databases under all-to-all sharing and hardly under the feed, in which one control
+/// instance's bytes grow with routers times databases, and whose memory was played at the target.
+fn made_up() -> Vec<Line> {
+    let mut lines = Vec::new();
+    let mut add = |routers: usize, databases: usize| {
+        let (n, m) = (routers as f64, databases as f64);
+        let shared =
+            [("router_bytes_in_s", 900.0 + 104.0 * m), ("router_bytes_out_s", 10.0 * n.ln() + 104.0 * m)];
+        lines.push(run(Mode::Shared, routers, databases, None, &shared));
+        let feed = [
+            ("router_bytes_in_s", 4321.0 + 0.01 * m),
+            ("router_bytes_out_s", 100.0),
+            ("router_cpu_part", 0.001 + 1e-6 * m),
+            ("router_memory_bytes", 1e6 + 300.0 * m),
+            ("router_state_bytes", if n > 3000.0 { 9e6 } else { 1e6 }),
+            ("age_p99_s", 0.3 - 0.01 * n.ln()),
+            ("control_bytes_in_s", 500.0),
+            ("control_bytes_out_s", 2000.0 + 0.004 * n * m),
+        ];
+        lines.push(run(Mode::Feed, routers, databases, None, &feed));
+    };
+    SIZES.iter().for_each(|routers| add(*routers, 500));
+    SIZES.iter().filter(|databases| **databases != 500).for_each(|databases| add(500, *databases));
+    add(500, 18_000);
+    let peaks = [("peak_control_bytes_s", 9e6), ("follow_max_s", 2.51)];
+    lines.push(run(Mode::Feed, 4000, 500, Some("restart"), &peaks));
+    lines.push(run(Mode::Feed, 2000, 500, Some("restart"), &[("peak_control_bytes_s", 1e9)]));
+    for connections in [1000, 2000, 4000, CONNECTIONS as usize] {
+        let mut line = run(Mode::Feed, 500, 500, None, &[("connection_memory_bytes", 5000.0)]);
+        if let Line::Run { sizes, .. } = &mut line {
+            sizes.connections = connections;
+        }
+        lines.push(line);
+    }
+    lines
+}
+
+fn with_fits(mut lines: Vec<Line>) -> Vec<Line> {
+    lines.extend(fit_all(&lines).into_iter().map(Line::Fit));
+    lines
+}
+
+/// A page made of these records, and where they are.
+fn made(name: &str, lines: Vec<Line>) -> (Folder, String) {
+    let folder = Folder::new(name);
+    write(&folder.0.join(PLAYED), &with_fits(lines)).expect("written");
+    let page = fill(&page(), &folder.0).expect("made");
+    (folder, page)
+}
+
+fn row(page: &str, role: &str, what: &str, record: &str) -> BTreeMap<String, String> {
+    let mut rows = rows(page).into_iter();
+    let found =
+        rows.find(|row| row["role"] == role && row["what"] == what && row["record"].ends_with(record));
+    found.unwrap_or_else(|| panic!("no row {role}, {what}, {record}"))
+}
+
+#[test]
+fn rows_are_made_of_the_records_as_far_as_they_go() {
+    let (folder, page) = made("whole", made_up());
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let bytes = "bytes in and out a second";
+    let shared = row(&page, "router", bytes, "shared, over databases");
+    assert_eq!((shared["basis"].as_str(), shared["figure"].as_str()), ("measured", "3,750,000"));
+    assert_eq!(shared["ratio"], "289");
+    let memory = row(&page, "router", "memory of control, bytes", "feed, over databases");
+    assert_eq!((memory["basis"].as_str(), memory["figure"].as_str()), ("measured", "6,400,000"));
+    assert_eq!(memory["ratio"], "0.1");
+    // A constant over routers, at a size that was not played.
+    let feed = row(&page, "router", bytes, "feed, over routers");
+    assert_eq!(
+        (feed["basis"].as_str(), feed["sum"].as_str(), feed["figure"].as_str()),
+        ("predicted", "4,426", "4,430")
+    );
+    // Two instances were played: the followers of one of eight machines are those of 1,975 routers there.
+    let control = row(&page, "control machine", bytes, "feed, over routers");
+    assert!(control["at"].starts_with("1,975 routers, 18,000 databases"), "{control:?}");
+    assert!(control["sum"].ends_with("× 1,975 × 18,000"), "{control:?}");
+    // What falls with size is held.
+    let age = row(&page, "router", "age of what is known, p99, s", "feed, over routers");
+    assert!(age["error"].ends_with("falls, held at its most") && !age["sum"].contains('×'), "{age:?}");
+    // A jump at the largest size.
+    let state = row(&page, "router", "state of control, bytes", "feed, over routers");
+    assert_eq!((state["basis"].as_str(), state["figure"].as_str()), ("not measured", "–"));
+    assert_eq!(state["error"], "under by 0.889 at 4,000: the form is wrong");
+    // The largest fault played, beside five times the calm of that size.
+    let peak = row(&page, "control machine", "peak, bytes a second, a sixth restarted", "feed, restart");
+    assert_eq!((peak["basis"].as_str(), peak["figure"].as_str()), ("measured below the target", "9,000,000"));
+    assert_eq!((peak["budget"].as_str(), peak["ratio"].as_str()), ("52,500", "172"));
+    assert!(peak["at"].starts_with("4,000 routers, 500 databases"));
+    let connection = row(&page, "client connection", "memory of one, bytes", "feed, over connections");
+    assert_eq!((connection["basis"].as_str(), connection["figure"].as_str()), ("measured", "5,000"));
+    // Bytes under sharing lead what is missing without control instances.
+    let order = tables(&page).into_iter().find(|table| table[0][0] == "ratio").expect("the order");
+    assert_eq!(&order[1][1..3], ["router", bytes]);
+    assert!(order.windows(2).skip(1).all(|pair| number(&pair[0][0]) >= number(&pair[1][0])));
+    assert!(page.contains(&format!("First: {bytes} of a router, calm: ")));
+}
+
+#[test]
+fn without_records_nothing_is_measured() {
+    let folder = Folder::new("none");
+    let page = fill(&page(), &folder.0).expect("made");
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let rows = rows(&page);
+    assert!(rows.iter().all(|row| matches!(row["basis"].as_str(), "not measured" | "computed")));
+    assert!(rows.iter().any(|row| row["error"] == "no run"));
+    // Three sizes are none either.
+    let few =
+        made_up().into_iter().filter(|line| of_run(line).is_some_and(|(_, sizes, _)| sizes.routers <= 1000));
+    let few = few.filter(|line| of_run(line).is_some_and(|(_, sizes, _)| sizes.databases <= 1000));
+    let (folder, page) = made("few", few.collect());
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let bytes = row(&page, "router", "bytes in and out a second", "feed, over routers");
+    assert_eq!(
+        (bytes["basis"].as_str(), bytes["error"].as_str()),
+        ("not measured", "sizes played: 3, needed: 4")
+    );
+}
+
+/// A cell of one row changed, and all else left.
+fn changed(page: &str, row: &BTreeMap<String, String>, cell: &str, to: &str) -> String {
+    let columns =
+        ["role", "what", "at", "sum", "figure", "budget", "ratio", "basis", "error", "record", "mechanism"];
+    let line =
+        |row: &BTreeMap<String, String>| format!("| {} |", columns.map(|name| row[name].clone()).join(" | "));
+    let old = line(row);
+    assert!(page.contains(&old), "{old}");
+    let mut row = row.clone();
+    row.insert(cell.to_string(), to.to_string());
+    page.replace(&old, &line(&row))
+}
+
+#[test]
+fn what_a_page_claims_wrongly_is_found() {
+    let (folder, page) = made("wrong", made_up());
+    let bytes = "bytes in and out a second";
+    let predicted = row(&page, "router", bytes, "feed, over routers");
+    let linear = row(&page, "router", "processor time of control, cores", "feed, over databases");
+    assert_eq!(linear["basis"], "measured");
+    let product = row(&page, "control machine", bytes, "feed, over routers");
+    let peak = row(&page, "control machine", "peak, bytes a second, a sixth restarted", "feed, restart");
+    let unknown = row(&page, "router", "state of control, bytes", "feed, over routers");
+    let list = row(&page, "discovery", "bytes of lists to all that come back", "listing.rs");
+    let told = |page: &str, row: &BTreeMap<String, String>, cell: &str, to: &str, fault: &str| {
+        let faults = faults(&changed(page, row, cell, to), &folder.0);
+        // A row of both axes that rests on this one falls with it.
+        let first = faults.first().map_or("", String::as_str);
+        assert!(faults.len() <= 2 && first.ends_with(fault), "{cell} {to}: {faults:?}");
+    };
+    let less = |text: &str, by: f64| show(number(text).expect("a number") - by);
+    // A figure changed by one.
+    told(&page, &predicted, "figure", "4,425", "the figure is not its sum, rounded up");
+    told(&page, &list, "figure", &less(&list["figure"], 1e7), "the figure is not its sum, rounded up");
+    told(&page, &peak, "figure", "8,999,999", "the figure is not what was played");
+    // A ratio rounded down.
+    told(&page, &predicted, "ratio", "0.34", "the ratio is not figure over budget, rounded up");
+    told(&page, &peak, "ratio", "171", "the ratio is not figure over budget, rounded up");
+    // A slope, an offset or a form that is not the record's.
+    let (offset, slope) = product["sum"].split_once(" + ").expect("a sum");
+    let (slope, sizes) = slope.split_once(" × ").expect("a product");
+    let other = format!("{offset} + {} × {sizes}", show(up(number(slope).expect("a slope") * 0.9999, 6)));
+    told(&page, &product, "sum", &other, "the slope is not the record's");
+    told(&page, &predicted, "sum", "4,425.9", "the offset is not the record's");
+    told(&page, &predicted, "sum", "4,426 + 0 × 7,900", "the form is not the record's");
+    // Claims beyond the record.
+    told(&page, &predicted, "basis", "measured", "its record did not play that size");
+    told(&page, &predicted, "basis", "simulated: predicted", "measured and simulated are mistaken");
+    told(&page, &peak, "basis", "measured", "it is not said whether this is the target's size");
+    told(
+        &page,
+        &peak,
+        "at",
+        "7,900 routers, 500 databases, 2 instances",
+        "that fault was not played at that size",
+    );
+    told(&page, &unknown, "figure", "9,000,000", "a figure of what nobody has measured");
+    told(&page, &predicted, "error", "–", "no error of the prediction");
+    told(&page, &list, "mechanism", "", "a mechanism, or none, must be named");
+    let elsewhere = predicted["record"].replace(PLAYED, "other.jsonl");
+    let found = faults(&changed(&page, &predicted, "record", &elsewhere), &folder.0);
+    assert!(found.len() == 1 && found[0].contains("the record cannot be read"), "{found:?}");
+    told(
+        &page,
+        &predicted,
+        "record",
+        &predicted["record"].replace("bytes_in", "beats_in"),
+        "the record has no such figure",
+    );
+}
+
+#[test]
+fn what_a_record_does_not_bear_out_is_found() {
+    let (folder, page) = made("changed", made_up());
+    let path = folder.0.join(PLAYED);
+    let lines = read(&path).expect("read");
+    // A run changed: its fits are old, for the generator and for the row.
+    let mut other = lines.clone();
+    if let Some(Line::Run { figures, .. }) =
+        other.iter_mut().find(|line| matches!(line, Line::Run { sizes, .. } if sizes.mode == Mode::Feed))
+    {
+        figures.insert("router_bytes_in_s".to_string(), 4400.0);
+    }
+    write(&path, &other).expect("written");
+    let error = fill(&page, &folder.0).expect_err("old fits").to_string();
+    assert!(error.contains("run measure/fit"), "{error}");
+    assert!(
+        faults(&page, &folder.0)
+            .iter()
+            .any(|fault| fault.ends_with("the record's fit is not that of its runs"))
+    );
+    // The same with new fits: the page is of yesterday.
+    let runs = |lines: &[Line]| {
+        lines.iter().filter(|line| matches!(line, Line::Run { .. })).cloned().collect::<Vec<_>>()
+    };
+    write(&path, &with_fits(runs(&other))).expect("written");
+    assert_ne!(fill(&page, &folder.0).expect("made"), page);
+    assert!(!faults(&page, &folder.0).is_empty());
+    // A largest size that says the form is wrong: a row that still predicts is found.
+    let mut other = runs(&lines);
+    for line in &mut other {
+        if let Line::Run { sizes, figures, fault: None, .. } = line
+            && (sizes.mode, sizes.routers) == (Mode::Feed, 4000)
+        {
+            figures.insert("router_bytes_in_s".to_string(), 9000.0);
+        }
+    }
+    write(&path, &with_fits(other)).expect("written");
+    let found = faults(&page, &folder.0);
+    assert!(
+        found.iter().any(|fault| fault.ends_with("the prediction rests on a form that is wrong")),
+        "{found:?}"
+    );
+    let page = fill(&page, &folder.0).expect("made");
+    let bytes = row(&page, "router", "bytes in and out a second", "feed, over routers");
+    assert_eq!((bytes["basis"].as_str(), bytes["ratio"].as_str()), ("not measured", "–"));
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    // No record at all.
+    std::fs::remove_file(&path).expect("removed");
+    assert!(faults(&page, &folder.0).iter().any(|fault| fault.contains("the record cannot be read")));
+}
+
+#[test]
+fn runs_without_processes_are_called_simulated() {
+    let folder = Folder::new("simulated");
+    let mut lines = Vec::new();
+    for (routers, nodes) in [(50, 250), (50, 500), (50, 1000), (50, 2000), (25, 250), (100, 250), (200, 250)]
+    {
+        let bytes = 23_000.0 + 208.0 * nodes as f64 + 100.0 * routers as f64;
+        let mut line = run(Mode::Shared, routers, nodes, None, &[("router_bytes_out_s", bytes)]);
+        if let Line::Run { sizes, .. } = &mut line {
+            (sizes.real, sizes.hollow_processes, sizes.control) = (0, 0, 0);
+        }
+        lines.push(line);
+    }
+    write(&folder.0.join(SIMULATED), &with_fits(lines)).expect("written");
+    let page = fill(&page(), &folder.0).expect("made");
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let sent = "bytes sent a second";
+    let one = row(&page, "router", sent, "shared, over databases");
+    assert_eq!(
+        (one["basis"].as_str(), one["sum"].as_str()),
+        ("simulated: predicted", "28,000 + 208 × 18,000")
+    );
+    assert_eq!((one["figure"].as_str(), one["ratio"].as_str()), ("3,780,000", "291"));
+    let both = row(&page, "router", sent, "shared, over routers and databases");
+    assert_eq!(
+        (both["basis"].as_str(), both["sum"].as_str()),
+        ("simulated: computed", "101,000 + 3,780,000 + 1,491,000 − 80,000")
+    );
+    let found = faults(&changed(&page, &one, "basis", "predicted"), &folder.0);
+    assert!(found.len() == 1 && found[0].ends_with("measured and simulated are mistaken"), "{found:?}");
+    let found = faults(&changed(&page, &both, "sum", "100,000 + 3,780,000 + 1,491,000 − 80,000"), &folder.0);
+    assert!(found.len() == 1, "{found:?}");
+}
+
+#[test]
+fn a_page_with_a_marker_too_few_or_unknown_is_refused() {
+    let folder = Folder::new("markers");
+    let told = |page: &str| fill(page, &folder.0).expect_err("refused").to_string();
+    let whole = page();
+    assert!(told(&whole.replace("<!-- begin zone -->", "")).contains("no marker zone"));
+    assert!(
+        told(&whole.replace("<!-- begin zone -->", "<!-- begin zones -->")).contains("zones is not known")
+    );
+    assert!(told("<!-- begin zone -->").contains("zone has no end"));
+}
+
+#[test]
+fn numbers_are_rounded_toward_more_and_shown_in_full() {
+    for (is, digits, shown) in [
+        (1234.0, 3, "1,240"),
+        (1230.0, 3, "1,230"),
+        (0.1 + 0.2, 3, "0.3"),
+        (0.000_012_341, 3, "0.0000124"),
+        (3_744_000.0, 6, "3,744,000"),
+        (-1234.9, 3, "−1,230"),
+        (0.0, 3, "0"),
+        (999.5, 3, "1,000"),
+        (4.0e-13, 2, "0.0000000000004"),
+    ] {
+        assert_eq!(show(up(is, digits)), shown);
+    }
+}
--- a/crates/rig/tests/fit.rs
+++ b/crates/rig/tests/fit.rs
@@ -95,7 +95,14 @@
 
 #[test]
 fn a_line_over_one_size_stays_one_where_the_other_changes_nothing_or_adds() {
-    for truth in [|n: f64, _: f64| 5.0 + 3.0 * n, |n: f64, m: f64| 5.0 + 3.0 * n + 0.001 * m] {
+    type Truth = fn(f64, f64) -> f64;
+    let truths: [Truth; 4] = [
+        |n, _| 5.0 + 3.0 * n,
+        |n, m| 5.0 + 3.0 * n + 0.001 * m,
+        |n, m| 5.0 + 3.0 * n + 40.0 * m,
+        |n, m| 5.0 + 3.0 * n + 0.5 * m.ln(),
+    ];
+    for truth in truths {
         let mut lines = over(Axis::Routers, &LARGE, truth);
         lines.extend(over(Axis::Databases, &LARGE, truth));
         assert_eq!(routers(&lines).form, Form::Linear);
