--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -46,7 +46,7 @@
 const RESTART: &str = "restart";
 const STOP: &str = "stop";
 const CUT: &str = "cut";
-const KILL: &str = "kill";
+const KILL: &str = "control";
 const PRIMARY: &str = "primary";
 
 /// How a row stands to today's program.
@@ -280,7 +280,7 @@
                     "processor time of a router with all of its own, cores",
                     any,
                     Budget::None,
-                    calm(PLAYED, Mode::Feed, "real_cpu_part", at_connections()),
+                    calm(PLAYED, Mode::Feed, "real_on_cpu_part", at_connections()),
                     "router",
                 ),
                 ask(
@@ -288,7 +288,7 @@
                     "processor time of a router for its statements, cores",
                     any,
                     Budget::None,
-                    calm(PLAYED, Mode::Feed, "real_cpu_part", at_statements()),
+                    calm(PLAYED, Mode::Feed, "real_on_cpu_part", at_statements()),
                     "router",
                 ),
             ]);
@@ -453,7 +453,7 @@
                 "age of what is known, the oldest, while cut for 30 s, s",
                 feed,
                 Budget::None,
-                fault(CUT, "age_max_s"),
+                fault(CUT, "fault_age_max_s"),
                 "feed",
             ),
             ask(
@@ -495,7 +495,7 @@
                 "age of what is known, the oldest, s",
                 feed,
                 Budget::Most(1.0),
-                fault(KILL, "age_max_s"),
+                fault(KILL, "fault_age_max_s"),
                 "feed",
             ),
             ask(
--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -25,23 +25,28 @@
 pub const HEAD: &str = "| role | what | at | sum | figure | budget | ratio | basis | error | record | mechanism |\n\
      | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
 
-/// A fit's curve as it is shown: what falls with size counts at its most, and is not carried on.
+/// A fit's curve as it is shown. Where it falls below what was played at no larger a size, that is held instead: a
+/// figure that falls with size is not carried on, and a fit that was too low does not make one pass.
 #[derive(Clone, Copy)]
 struct Curve {
     form: Form,
     offset: f64,
     slope: f64,
+    is_held: bool,
 }
 
 impl Curve {
-    fn of(fit: &Fit, points: &[fit::Point]) -> Self {
-        let most = points.iter().map(|point| point.mean).fold(0.0, f64::max);
-        let (form, offset, slope) = match fit.slope {
-            slope if slope < 0.0 => (Form::Constant, most, 0.0),
-            slope => (fit.form, fit.offset, slope),
-        };
-        let least = most * 1e-9;
-        Self { form, offset: if offset.abs() < least { 0.0 } else { up(offset, 6) }, slope: up(slope, 6) }
+    /// `size` is the axis' own, and `place` what the form takes.
+    fn of(fit: &Fit, points: &[fit::Point], size: f64, place: f64) -> Self {
+        let most_of =
+            |points: &mut dyn Iterator<Item = &fit::Point>| points.map(|point| point.mean).reduce(f64::max);
+        let most = most_of(&mut points.iter().filter(|point| point.size <= size));
+        let most = most.or_else(|| most_of(&mut points.iter())).unwrap_or_default();
+        let is_held = fit.slope < 0.0 || fit.at(place) < most * (1.0 - 1e-9);
+        let (form, offset, slope) =
+            if is_held { (Form::Constant, most, 0.0) } else { (fit.form, fit.offset, fit.slope) };
+        let offset = if offset.abs() < most * 1e-9 { 0.0 } else { up(offset, 6) };
+        Self { form, offset, slope: up(slope, 6), is_held }
     }
 
     fn at(&self, size: f64) -> f64 {
@@ -144,7 +149,20 @@
             None
         }
     };
-    let curve = fit.as_ref().filter(|fit| fit.is_usable()).map(|fit| Curve::of(fit, &played.points));
+    let factor = if fit.as_ref().is_some_and(|fit| fit.form == Form::Product) {
+        let other = if axis == Axis::Routers { Axis::Databases } else { Axis::Routers };
+        let wanted = others.iter().find_map(|over| match over {
+            Over::Size(axis, size) if *axis == other => Some(*size),
+            Over::Share(each) if other == Axis::Routers => Some(each * instances),
+            _ => None,
+        });
+        Some((other, wanted.unwrap_or_else(|| fit::size(&held_at, other))))
+    } else {
+        None
+    };
+    let place = size * factor.map_or(1.0, |(_, factor)| factor);
+    let usable = fit.as_ref().filter(|fit| fit.is_usable());
+    let curve = usable.map(|fit| Curve::of(fit, &played.points, size, place));
     if let Some(point) = played.points.iter().find(|point| point.size == size) {
         row.sum = "played".to_string();
         row.figure = Some(up(point.most, 3));
@@ -159,28 +177,19 @@
         row.error += ": the form is wrong";
         return done(row, None);
     };
-    if fit.slope < 0.0 {
-        row.error += "; falls, held at its most";
+    if curve.is_held {
+        row.error += "; held at the most played";
     }
     let (offset, slope) = (show(curve.offset), show(curve.slope));
-    let mut place = size;
-    row.sum = match curve.form {
-        Form::Constant => offset,
-        Form::Log => format!("{offset} + {slope} × ln {}", show(size)),
-        Form::Linear => format!("{offset} + {slope} × {}", show(size)),
-        Form::Square => format!("{offset} + {slope} × {}²", show(size)),
-        Form::Product => {
-            let other = if axis == Axis::Routers { Axis::Databases } else { Axis::Routers };
-            let wanted = others.iter().find_map(|over| match over {
-                Over::Size(axis, size) if *axis == other => Some(*size),
-                Over::Share(each) if other == Axis::Routers => Some(each * instances),
-                _ => None,
-            });
-            let factor = wanted.unwrap_or_else(|| fit::size(&held_at, other));
-            place = size * factor;
+    row.sum = match (curve.form, factor) {
+        (Form::Constant, _) => offset,
+        (Form::Log, _) => format!("{offset} + {slope} × ln {}", show(size)),
+        (Form::Square, _) => format!("{offset} + {slope} × {}²", show(size)),
+        (Form::Product, Some((other, factor))) => {
             row.at = format!("{} {}, {} {}", show(size), axis.name(), show(factor), other.name());
             format!("{offset} + {slope} × {} × {}", show(size), show(factor))
         }
+        (Form::Linear | Form::Product, _) => format!("{offset} + {slope} × {}", show(size)),
     };
     row.figure = Some(up(curve.at(place), 3));
     row.basis = format!("{prefix}predicted");
@@ -290,8 +299,9 @@
     let is_whole = largest.routers as f64 >= ROUTERS && largest.databases as f64 >= DATABASES;
     row.basis = if is_whole { "measured" } else { "measured below the target" }.to_string();
     if let Budget::TimesCalm(times, figure) = ask.budget {
-        let calm = runs(None, figure);
-        let calm = calm.iter().filter(|(sizes, _)| place(sizes) == place(largest)).map(|(_, is)| *is);
+        // A run with a fault begins with calm seconds, whose figures it has beside the fault's.
+        let calm = runs(Some(fault), figure).into_iter().chain(runs(None, figure));
+        let calm = calm.filter(|(sizes, _)| place(sizes) == place(largest)).map(|(_, is)| is);
         row.budget = calm.reduce(f64::min).map(|least| down(least * times, 3));
     }
     row
--- a/crates/rig/src/capacity/tables.rs
+++ b/crates/rig/src/capacity/tables.rs
@@ -84,7 +84,9 @@
                     Form::Square => "n²",
                     Form::Product => "n·m",
                 };
-                let [slope, offset] = [fit.slope, fit.offset].map(|is| show(up(is, 6)));
+                // What an offset's binary form leaves of nothing is nothing.
+                let offset = if fit.offset.abs() < fit.played.abs() * 1e-9 { 0.0 } else { fit.offset };
+                let [slope, offset] = [fit.slope, offset].map(|is| show(up(is, 6)));
                 let [residual, spread, error] =
                     [fit.residual, fit.spread, fit.error].map(|is| show(part(is)));
                 let [predicted, played] = [fit.predicted, fit.played].map(|is| show(up(is, 4)));
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -9,7 +9,7 @@
 use quillpoint_rig::capacity::asks::{CONNECTIONS, DATABASES, PLAYED, ROUTERS, SIMULATED};
 use quillpoint_rig::capacity::fill;
 use quillpoint_rig::capacity::numbers::{show, up};
-use quillpoint_rig::fit::{MOST_ERROR, fit, fit_all};
+use quillpoint_rig::fit::{MOST_ERROR, fit, fit_all, points};
 use quillpoint_rig::record::{Axis, Fit, Form, Line, Mode, Sizes, read, write};
 
 fn repository() -> PathBuf {
@@ -217,10 +217,13 @@
     let missed = missed.and_then(|(by, _)| number(by)).ok_or("no error of the prediction")?;
     ensure(missed >= fit.error - 1e-8 && missed <= fit.error + 0.001, "the error is not the fit's")?;
     let terms: Vec<&str> = cell("sum")?.split(" + ").collect();
-    if fit.slope < 0.0 {
-        let most = with().filter(|(fault, ..)| fault.is_none()).map(|(.., is)| is).fold(0.0, f64::max);
-        let held = terms.len() == 1 && number(terms[0]).is_some_and(|is| is <= most * 1.00001);
-        return ensure(held, "what falls is not held at its most");
+    let at = before(cell("at")?, axis.name()).ok_or("no size")?;
+    let played = points(&lines, axis, mode, name).ok_or("no points")?.points;
+    let most = played.iter().filter(|point| point.size <= at).map(|point| point.mean).reduce(f64::max);
+    let most = most.unwrap_or_else(|| played.iter().map(|point| point.mean).fold(0.0, f64::max));
+    ensure(shown >= most * (1.0 - 1e-9), "the prediction is less than what was played")?;
+    if cell("error")?.ends_with("; held at the most played") {
+        return ensure(terms.len() == 1 && is_up(shown, most), "it is not held at the most played");
     }
     // An offset may be nothing beside the figure, and is then shown as nothing.
     let is_near = |text: Option<f64>, is: f64, nothing: f64| {
@@ -267,10 +270,11 @@
     let (Some(held_routers), Some(held_databases)) = (held(other, "routers"), held(one, "databases")) else {
         return Err("what was held is not said".to_string());
     };
-    let at = |fit: &Fit, size: f64| {
-        if fit.slope < 0.0 { f64::MAX } else { fit.offset + fit.slope * form(fit.form, size) }
+    let is_held = |row: &BTreeMap<String, String>| row["error"].ends_with("; held at the most played");
+    let at = |row: &BTreeMap<String, String>, fit: &Fit, size: f64| {
+        if is_held(row) { f64::MAX } else { fit.offset + fit.slope * form(fit.form, size) }
     };
-    let was = at(&routers, held_routers).min(at(&databases, held_databases));
+    let was = at(one, &routers, held_routers).min(at(other, &databases, held_databases));
     let [Some(left), Some(right), Some(both), Some(base)] = [left, right, both, base].map(number) else {
         return Err("no numbers".to_string());
     };
@@ -288,12 +292,13 @@
     let (Some(to_routers), Some(to_databases)) = (wanted(one, "routers"), wanted(other, "databases")) else {
         return Err("no sizes".to_string());
     };
-    let growth = |fit: &Fit, from: f64, to: f64| match fit.form {
-        _ if fit.slope <= 0.0 => 0.0,
+    let growth = |row: &BTreeMap<String, String>, fit: &Fit, from: f64, to: f64| match fit.form {
+        Form::Constant => 0.0,
+        _ if is_held(row) => 0.0,
         shape => form(shape, to) / form(shape, from) - 1.0,
     };
-    let by_databases = (left - base).max(0.0) * growth(&databases, held_databases, to_databases);
-    let by_routers = (right - base).max(0.0) * growth(&routers, held_routers, to_routers);
+    let by_databases = (left - base).max(0.0) * growth(other, &databases, held_databases, to_databases);
+    let by_routers = (right - base).max(0.0) * growth(one, &routers, held_routers, to_routers);
     let due = by_databases.min(by_routers).max(0.0);
     if both < due * 0.999_999 || both > due * 1.000_1 + 1e-9 {
         return Err(format!("what may grow with both is {due}"));
@@ -457,7 +462,7 @@
     assert!(control["sum"].ends_with("× 1,975 × 18,000"), "{control:?}");
     // What falls with size is held.
     let age = row(&page, "router", "age of what is known, p99, s", "feed, over routers");
-    assert!(age["error"].ends_with("falls, held at its most") && !age["sum"].contains('×'), "{age:?}");
+    assert!(age["error"].ends_with("; held at the most played") && !age["sum"].contains('×'), "{age:?}");
     // A jump at the largest size.
     let state = row(&page, "router", "state of control, bytes", "feed, over routers");
     assert_eq!((state["basis"].as_str(), state["figure"].as_str()), ("not measured", "–"));
