--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use quillpoint_feed::share::{CROWD, TIMES};
 use quillpoint_fleet::letter::CARDS_WHOLE;
 use quillpoint_fleet::membership::MOST_PEERS;
 
@@ -472,6 +473,22 @@
                 fault(CUT, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
+            ask(
+                database,
+                "probes a second, no control instance left, the mean",
+                feed,
+                Budget::None,
+                computed(&[TIMES, PROBES_S], 1.0, "crates/feed/src/share.rs"),
+                "feed: paced share",
+            ),
+            ask(
+                database,
+                "probes a second, no control instance left, the most of one",
+                feed,
+                Budget::None,
+                computed(&[CROWD, PROBES_S], 1.0, "crates/feed/src/share.rs"),
+                "feed: paced share",
+            ),
         ],
         "control-lost" => vec![
             ask(
--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -196,32 +196,87 @@
     done(row, Some(curve))
 }
 
+/// Where both axes were held: routers and databases.
+type Place = (f64, f64);
+
 /// Both axes at once: what each adds to the figure where both were held, and the most that may grow with both together,
 /// which no run along the axes shows. If that is `c` times the one form times the other, neither slope can be less than
-/// its share of it.
-fn together(one: &Single, other: &Single) -> Option<Row> {
-    let (first, second) = (one.curve?, other.curve?);
-    if first.form == Form::Product || second.form == Form::Product {
+/// its share of it. The figure is `one + other + both - base`.
+struct Crossed {
+    both: f64,
+    base: f64,
+}
+
+impl Crossed {
+    /// From the place where both were held to another; `figures` are those of either axis there.
+    fn of(curves: (Curve, Curve), from: Place, to: Place, figures: (f64, f64)) -> Self {
+        let base = down(curves.0.at(from.0).min(curves.1.at(from.1)), 6);
+        let growth = |curve: Curve, from: f64, to: f64| {
+            let from = fit::value(curve.form, from);
+            if from > 0.0 { (fit::value(curve.form, to) - from) / from } else { 0.0 }
+        };
+        let by_databases = (figures.0 - base).max(0.0) * growth(curves.1, from.1, to.1);
+        let by_routers = (figures.1 - base).max(0.0) * growth(curves.0, from.0, to.0);
+        Self { both: up(by_databases.min(by_routers).max(0.0), 6), base }
+    }
+
+    fn figure(&self, figures: (f64, f64)) -> f64 {
+        figures.0 + figures.1 + self.both - self.base
+    }
+}
+
+/// How far the crossing of two axes missed the calm runs off both of them: the one that it was furthest under, or least
+/// over, as a part of what was played (below zero: over), and its sizes.
+fn missed(lines: &[Line], (mode, figure): (Mode, &str), from: Place, held: &Sizes) -> Option<(f64, Place)> {
+    let axes = [Axis::Routers, Axis::Databases].map(|axis| {
+        Some((fit::fit(lines, axis, mode, figure).ok()?, fit::points(lines, axis, mode, figure)?.points))
+    });
+    let [Some((routers, by_routers)), Some((databases, by_databases))] = axes else { return None };
+    let miss = |line: &Line| {
+        let Line::Run { fault: None, sizes, figures, .. } = line else { return None };
+        let to = (sizes.routers as f64, sizes.databases as f64);
+        if sizes.mode != mode || to.0 == from.0 || to.1 == from.1 || !fit::is_alike(sizes, held) {
+            return None;
+        }
+        let played = fit::figure(figures, figure)?;
+        let curves =
+            (Curve::of(&routers, &by_routers, to.0, to.0), Curve::of(&databases, &by_databases, to.1, to.1));
+        let each = (curves.0.at(to.0), curves.1.at(to.1));
+        let crossed = Crossed::of(curves, from, to, each).figure(each);
+        Some(((played - crossed) / played.abs().max(f64::MIN_POSITIVE), to))
+    };
+    lines.iter().filter_map(miss).max_by(|one, other| one.0.total_cmp(&other.0))
+}
+
+fn together(lines: &[Line], about: (Mode, &str), one: &Single, other: &Single) -> Option<Row> {
+    let curves = (one.curve?, other.curve?);
+    if curves.0.form == Form::Product || curves.1.form == Form::Product {
         return None;
     }
     let held = (one.held.as_ref()?, other.held.as_ref()?);
     let from = (held.1.routers as f64, held.0.databases as f64);
-    let base = down(first.at(from.0).min(second.at(from.1)), 6);
-    let (left, right) = (one.row.figure?, other.row.figure?);
-    let growth = |curve: Curve, from: f64, to: f64| {
-        let from = fit::value(curve.form, from);
-        if from > 0.0 { (fit::value(curve.form, to) - from) / from } else { 0.0 }
-    };
-    let by_second = (left - base).max(0.0) * growth(second, from.1, other.size);
-    let by_first = (right - base).max(0.0) * growth(first, from.0, one.size);
-    let both = up(by_second.min(by_first).max(0.0), 6);
+    let figures = (one.row.figure?, other.row.figure?);
+    let crossed = Crossed::of(curves, from, (one.size, other.size), figures);
     let mut row = one.row.clone();
     row.at = format!("{} and {}", one.row.at.split(';').next()?, other.row.at.split(';').next()?);
-    row.sum = format!("{} + {} + {} − {}", show(left), show(right), show(both), show(base));
-    row.figure = Some(up(left + right + both - base, 3));
-    row.basis = format!("{}computed", prefix(held.0));
-    row.error = NO_FIGURE.to_string();
     row.record = format!("{} and databases", one.row.record);
+    row.error = NO_FIGURE.to_string();
+    if let Some((by, (routers, databases))) = missed(lines, about, from, held.0) {
+        let missed = if by > 0.0 { "under" } else { "over" };
+        let place = format!("{} routers and {} databases", show(routers), show(databases));
+        row.error = format!("{missed} by {} at {place}", show(part(by.abs())));
+        if by > fit::MOST_ERROR {
+            row.error += ": the crossing is wrong";
+            row.sum = NO_FIGURE.to_string();
+            row.figure = None;
+            row.basis = "not measured".to_string();
+            return Some(row);
+        }
+    }
+    let [left, right, both, base] = [figures.0, figures.1, crossed.both, crossed.base].map(show);
+    row.sum = format!("{left} + {right} + {both} − {base}");
+    row.figure = Some(up(crossed.figure(figures), 3));
+    row.basis = format!("{}computed", prefix(held.0));
     Some(row)
 }
 
@@ -238,7 +293,7 @@
                     row.record += " and databases";
                     return vec![row];
                 }
-                let both = together(one, other);
+                let both = together(books.lines(record), (*mode, figure), one, other);
                 return singles.into_iter().map(|single| single.row).chain(both).collect();
             }
             singles.into_iter().map(|single| single.row).collect()
--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -117,7 +117,7 @@
 }
 
 /// Whether nothing but routers and databases differs.
-fn is_alike(one: &Sizes, other: &Sizes) -> bool {
+pub fn is_alike(one: &Sizes, other: &Sizes) -> bool {
     let but_both = |sizes: &Sizes| held(&Sizes { routers: 0, ..sizes.clone() }, Axis::Databases);
     but_both(one) == but_both(other)
 }
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -262,14 +262,35 @@
     if !is_of(one, left) || !is_of(other, right) {
         return Err("it is not made of the two rows before it".to_string());
     }
-    let told = |error: quillpoint_rig::fit::Unfit| error.to_string();
-    let routers = fit(lines, Axis::Routers, mode, name).map_err(told)?;
-    let databases = fit(lines, Axis::Databases, mode, name).map_err(told)?;
-    // Where both were held: either axis is held at what the other one's row names.
+    // Runs off both axes have their say.
     let held = |row: &BTreeMap<String, String>, axis| before(row["at"].split(';').nth(1)?, axis);
     let (Some(held_routers), Some(held_databases)) = (held(other, "routers"), held(one, "databases")) else {
         return Err("what was held is not said".to_string());
     };
+    let played = points(lines, Axis::Routers, mode, name).ok_or("no points")?.held;
+    let off = |line: &Line| {
+        let (None, sizes, figures) = of_run(line)? else { return None };
+        let place = (sizes.routers as f64, sizes.databases as f64);
+        let is_off = place.0 != held_routers && place.1 != held_databases && sizes.mode == mode;
+        let is_alike = (sizes.control, sizes.period_s) == (played.control, played.period_s);
+        (is_off && is_alike).then_some(place).filter(|_| figure(figures, name).is_some())
+    };
+    let off: Vec<_> = lines.iter().filter_map(off).collect();
+    let error = &row["error"];
+    let named = (before(error, "routers"), before(error, "databases"));
+    if off.is_empty() != (error == "–") {
+        return Err("its error is not that of runs off both axes".to_string());
+    }
+    if !off.is_empty() && !off.iter().any(|place| (Some(place.0), Some(place.1)) == named) {
+        return Err("the run that its error is of was not played".to_string());
+    }
+    let by = error.split_once(" by ").and_then(|(_, rest)| number(rest.split(' ').next()?));
+    if error.starts_with("under") && by > Some(MOST_ERROR) {
+        return Err("it rests on a crossing that is wrong".to_string());
+    }
+    let told = |error: quillpoint_rig::fit::Unfit| error.to_string();
+    let routers = fit(lines, Axis::Routers, mode, name).map_err(told)?;
+    let databases = fit(lines, Axis::Databases, mode, name).map_err(told)?;
     let is_held = |row: &BTreeMap<String, String>| row["error"].ends_with("; held at the most played");
     let at = |row: &BTreeMap<String, String>, fit: &Fit, size: f64| {
         if is_held(row) { f64::MAX } else { fit.offset + fit.slope * form(fit.form, size) }
@@ -658,6 +679,44 @@
     assert!(found.len() == 1, "{found:?}");
 }
 
+#[test]
+fn runs_off_both_axes_bear_a_crossing_out_or_refute_it() {
+    let what = "processor time of control, cores";
+    let crossing = |name: &str, is: Option<f64>| {
+        let mut lines = Vec::new();
+        // A line over either, with a part that grows with both and one that does not.
+        let truth = |n: f64, m: f64| 0.001 + 1e-6 * n + 3e-6 * m + 1e-9 * n * m;
+        for routers in SIZES {
+            lines.push((routers, 500));
+            lines.push((500, routers + 1));
+        }
+        let mut lines: Vec<Line> = lines
+            .into_iter()
+            .map(|(n, m)| run(Mode::Feed, n, m, None, &[("router_cpu_part", truth(n as f64, m as f64))]))
+            .collect();
+        lines.extend(is.map(|is| run(Mode::Feed, 2000, 2000, None, &[("router_cpu_part", is)])));
+        let (folder, page) = made(name, lines);
+        assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+        let row = row(&page, "router", what, "feed, over routers and databases");
+        (folder, page, row)
+    };
+    let (_, _, alone) = crossing("crossing", None);
+    assert_eq!((alone["basis"].as_str(), alone["error"].as_str()), ("computed", "–"));
+    // No less than the truth at the target.
+    assert!(number(&alone["figure"]) >= Some(0.001 + 0.0079 + 0.054 + 0.1422), "{alone:?}");
+    let (folder, page, borne_out) = crossing("borne-out", Some(0.013));
+    assert_eq!(borne_out["figure"], alone["figure"]);
+    assert!(borne_out["error"].ends_with(" at 2,000 routers and 2,000 databases"), "{borne_out:?}");
+    let found = faults(&changed(&page, &borne_out, "error", "–"), &folder.0);
+    assert!(
+        found.len() == 1 && found[0].ends_with("its error is not that of runs off both axes"),
+        "{found:?}"
+    );
+    let (_, _, refuted) = crossing("refuted", Some(0.03));
+    assert_eq!((refuted["basis"].as_str(), refuted["figure"].as_str()), ("not measured", "–"));
+    assert!(refuted["error"].ends_with(": the crossing is wrong"), "{refuted:?}");
+}
+
 #[test]
 fn a_page_with_a_marker_too_few_or_unknown_is_refused() {
     let folder = Folder::new("markers");
