A scale run: hollow routers beside real ones, calibrated in the same fleet

What today's sharing costs at many routers was known from the lab alone. measure/scale plays one size: the program as it ships, stand-in databases by the thousand, and hollow routers, which are the control side of a real one with no clients. Figures are counted at the sockets and read from the system. The short and long forms and the faults are not whole yet.

--- /dev/null
+++ b/crates/rig/src/bin/databases.rs
@@ -0,0 +1,16 @@
+//! A process of stand-in databases: the plan as the first line of the standard input, then orders; reports on the
+//! output.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use quillpoint_rig::scale::{databases, orders};
+
+fn main() -> ExitCode {
+    let executor = Rc::new(LocalExecutor::new());
+    orders::main_of("databases", |plan, orders| {
+        let serving = databases::serve(plan, orders, orders::say, Rc::clone(&executor));
+        async_io::block_on(executor.run(serving))
+    })
+}
--- /dev/null
+++ b/crates/rig/src/bin/scale.rs
@@ -0,0 +1,149 @@
+//! `measure/scale`: fleets of many routers on one machine. Without options a short form of a few sizes; one size with
+//! its options; all axes with `--long`. Prints one JSON object last, and fails where a bound does not hold.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::prelude::{Long, ValueExt};
+use quillpoint_rig::record::{Mode, Sizes};
+use quillpoint_rig::scale::play::{Play, Programs};
+use quillpoint_rig::scale::{forms, report, sizes};
+
+const HELP: &str = "\
+Usage: measure/scale [options]
+
+Without options: a short form of a few small sizes, in under three minutes.
+
+One size, as soon as any of these is given:
+  --routers N            all routers, hollow and real (200)
+  --databases N          (or --nodes N) databases (250)
+  --real N               real router processes among the routers (16, or all if fewer)
+  --control N            control instances, in mode feed (4)
+  --mode MODE            off, shared or feed (shared)
+  --seconds S            how long is counted (10)
+  --period S             how often each database is probed by all together (0.15; longer ones take fewer of the cores)
+  --connections N        client connections at each real router (0)
+  --statements R         statements a second at each real router (0)
+  --changes R            changes of primary a second, over all (0)
+  --hollow-processes N   processes into which the hollow routers go
+  --fault NAME           restart, stop, cut, control or primary, after the calm seconds
+  --without-cpu          processor time is not held between hollow and real routers (on a busy machine)
+
+  --seed N               what is drawn by chance (1)
+  --long                 all axes, at least four sizes each, and the faults at the largest size
+  --bound FIGURE=VALUE   another bound on a figure, which must not be above it; may be given often
+  --record FILE          appends one JSON line for each size
+  --json                 prints the last line alone
+";
+
+struct Wanted {
+    /// One size, if one is wanted.
+    one: Option<Play>,
+    long: bool,
+    seed: u64,
+    tighter: Vec<(String, f64)>,
+    record: Option<PathBuf>,
+    quiet: bool,
+    programs: Programs,
+}
+
+fn mode(word: &str) -> Result<Mode, lexopt::Error> {
+    match word {
+        "off" => Ok(Mode::Off),
+        "shared" => Ok(Mode::Shared),
+        "feed" => Ok(Mode::Feed),
+        other => Err(format!("mode: expected off, shared or feed, found {other}").into()),
+    }
+}
+
+fn wanted() -> Result<Option<Wanted>, lexopt::Error> {
+    let mut sizes = Sizes {
+        mode: Mode::Shared,
+        routers: 200,
+        real: 16,
+        hollow_processes: 0,
+        control: 0,
+        databases: 250,
+        connections: 0,
+        statements: 0.0,
+        changes: 0.0,
+        period_s: 0.15,
+        seed: 1,
+        seconds: 10.0,
+    };
+    let (mut one, mut long, mut quiet, mut with_cpu) = (false, false, false, true);
+    let (mut real, mut control, mut processes, mut fault) = (None, None, None, None);
+    let (mut tighter, mut record) = (Vec::new(), None);
+    let here = std::env::current_exe().ok().and_then(|path| path.parent().map(PathBuf::from));
+    let here = here.unwrap_or_default();
+    let mut programs = Programs::beside(&here);
+    let mut words = lexopt::Parser::from_env();
+    while let Some(word) = words.next()? {
+        // Whatever shapes a size asks for one.
+        one |= !matches!(
+            word,
+            Long("seed" | "long" | "bound" | "record" | "json" | "program" | "folder" | "help")
+        );
+        match word {
+            Long("routers") => sizes.routers = words.value()?.parse()?,
+            Long("databases" | "nodes") => sizes.databases = words.value()?.parse()?,
+            Long("real") => real = Some(words.value()?.parse()?),
+            Long("control") => control = Some(words.value()?.parse()?),
+            Long("mode") => sizes.mode = mode(&words.value()?.string()?)?,
+            Long("seconds") => sizes.seconds = words.value()?.parse()?,
+            Long("period") => sizes.period_s = words.value()?.parse()?,
+            Long("connections") => sizes.connections = words.value()?.parse()?,
+            Long("statements") => sizes.statements = words.value()?.parse()?,
+            Long("changes") => sizes.changes = words.value()?.parse()?,
+            Long("hollow-processes") => processes = Some(words.value()?.parse()?),
+            Long("fault") => fault = Some(words.value()?.parse()?),
+            Long("without-cpu") => with_cpu = false,
+            Long("seed") => sizes.seed = words.value()?.parse()?,
+            Long("long") => long = true,
+            Long("bound") => tighter.push(report::bound(&words.value()?.string()?)?),
+            Long("record") => record = Some(words.value()?.into()),
+            Long("json") => quiet = true,
+            Long("program") => programs.router = words.value()?.into(),
+            Long("folder") => programs.folder = words.value()?.into(),
+            Long("help") => return Ok(None),
+            other => return Err(other.unexpected()),
+        }
+    }
+    programs.router = std::fs::canonicalize(&programs.router).unwrap_or(programs.router);
+    programs.folder = std::path::absolute(&programs.folder).unwrap_or(programs.folder);
+    let seed = sizes.seed;
+    sizes.real = real.unwrap_or(if sizes.mode == Mode::Off { sizes.routers } else { sizes.routers.min(16) });
+    sizes.control = control.unwrap_or(if sizes.mode == Mode::Feed { 4 } else { 0 });
+    let hollow = sizes.routers.saturating_sub(sizes.real);
+    sizes.hollow_processes = processes.unwrap_or(sizes::hollow_processes(sizes.mode, hollow));
+    let one = one.then_some(Play { sizes, axis: None, fault, with_cpu });
+    Ok(Some(Wanted { one, long, seed, tighter, record, quiet, programs }))
+}
+
+fn main() -> ExitCode {
+    let wanted = match wanted() {
+        Ok(Some(wanted)) => wanted,
+        Ok(None) => {
+            print!("{HELP}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("measure-scale: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let plays = match (wanted.one, wanted.long) {
+        (Some(one), _) => vec![one],
+        (None, true) => forms::long(wanted.seed),
+        (None, false) => forms::short(wanted.seed),
+    };
+    match report::play_all(&plays, &wanted.programs, &wanted.tighter, wanted.record.as_deref(), wanted.quiet)
+    {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("measure-scale: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,15 +4,17 @@
 //! discovery; [`relay::Relay`] loses datagrams as it is told; [`routers::Routers`] starts, kills and stops processes;
 //! [`load::Load`] asks as clients do, and counts how each RPC ended. Nothing here decides anything for a router.
 //! [`record`] is what a scale run leaves, and [`fit`] what its figures say of other sizes; [`capacity`] makes the
-//! tables of a page of them.
+//! tables of a page of them. [`scale`] plays fleets of thousands: hollow routers beside real ones.
 
 pub mod capacity;
 pub mod fit;
 pub mod listing;
 pub mod load;
+pub mod process;
 pub mod record;
 pub mod relay;
 pub mod routers;
+pub mod scale;
 pub mod simulated;
 pub mod store;
 
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,139 @@
+//! A child process: its lines kept, its use of the machine read, ended with its owner.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+type Lines = Arc<(Mutex<Vec<String>>, Condvar)>;
+
+/// Which of its streams is kept line by line. The other one of the two goes nowhere, or to this process's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// A log, as routers write it.
+    Errors,
+    /// Reports, as stand-ins write them; they also take orders.
+    Output,
+}
+
+pub struct Process {
+    child: Child,
+    orders: Option<ChildStdin>,
+    lines: Lines,
+}
+
+impl Process {
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start(mut command: Command, kept: Kept) -> std::io::Result<Self> {
+        match kept {
+            Kept::Errors => command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()),
+            Kept::Output => command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::inherit()),
+        };
+        let mut child = command.spawn()?;
+        let stream: Option<Box<dyn Read + Send>> = match kept {
+            Kept::Errors => child.stderr.take().map(|stream| Box::new(stream) as Box<dyn Read + Send>),
+            Kept::Output => child.stdout.take().map(|stream| Box::new(stream) as Box<dyn Read + Send>),
+        };
+        let orders = child.stdin.take();
+        let process = Self { child, orders, lines: Lines::default() };
+        let stream = stream.ok_or_else(|| std::io::Error::other("a stream is not piped"))?;
+        let lines = Arc::clone(&process.lines);
+        thread::spawn(move || {
+            for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                lines.0.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+                lines.1.notify_all();
+            }
+        });
+        Ok(process)
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Writes it a line.
+    ///
+    /// # Errors
+    /// It takes no orders, or has ended.
+    pub fn order(&mut self, line: &str) -> std::io::Result<()> {
+        let orders = self.orders.as_mut().ok_or_else(|| std::io::Error::other("it takes no orders"))?;
+        orders.write_all(line.as_bytes())?;
+        orders.write_all(b"\n")?;
+        orders.flush()
+    }
+
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// How many lines there are by now.
+    pub fn count(&self) -> usize {
+        self.lines.0.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// The first line from this place on in which something is found; `None` where none comes in time.
+    pub fn await_from<T>(
+        &self,
+        place: usize,
+        most: Duration,
+        mut find: impl FnMut(&str) -> Option<T>,
+    ) -> Option<T> {
+        let (mut found, mut looked_at) = (None, place);
+        let missing = |lines: &mut Vec<String>| {
+            while found.is_none() && looked_at < lines.len() {
+                found = find(&lines[looked_at]);
+                looked_at += 1;
+            }
+            found.is_none()
+        };
+        let guard = self.lines.0.lock().unwrap_or_else(PoisonError::into_inner);
+        drop(self.lines.1.wait_timeout_while(guard, most, missing));
+        found
+    }
+
+    /// Waits until a line with this in it has come.
+    pub fn await_line(&self, part: &str, most: Duration) -> bool {
+        self.await_from(0, most, |line| line.contains(part).then_some(())).is_some()
+    }
+
+    /// As by SIGKILL.
+    pub fn kill(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+
+    /// A signal by its name, as `-STOP`.
+    pub fn signal(&self, name: &str) {
+        _ = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+    }
+
+    /// Waits until it has ended by itself. Whether it ended well.
+    pub fn ended(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+
+    /// Its resident memory in bytes, and its processor time so far, as the system counts them.
+    pub fn usage(&self) -> Option<(u64, Duration)> {
+        let id = self.child.id();
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some((resident(id)?, Duration::from_millis(ticks * 10)))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The resident memory of a process in bytes.
+pub fn resident(id: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let resident = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    Some(resident.split_whitespace().nth(1)?.parse::<u64>().ok()? * 1024)
+}
--- a/crates/rig/src/routers.rs
+++ b/crates/rig/src/routers.rs
@@ -1,19 +1,17 @@
 //! Router processes: started, killed, stopped and continued, each with its files, on addresses of its own.
 
 use std::fs;
-use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value as Json, json};
 
 use crate::listing::Listing;
+use crate::process::{Kept, Process};
 use crate::relay::Relay;
 
 /// Far longer than anything here takes: what is awaited for so long never comes.
@@ -30,16 +28,13 @@
     Off,
 }
 
-type Lines = Arc<(Mutex<Vec<String>>, Condvar)>;
-
 pub struct Router {
     pub address: SocketAddr,
     datagrams: SocketAddr,
     pub relay: Relay,
     files: Vec<PathBuf>,
     bond: Bond,
-    child: Option<Child>,
-    lines: Lines,
+    process: Option<Process>,
 }
 
 pub struct Routers {
@@ -84,15 +79,13 @@
             let datagrams = SocketAddr::from((own_address(place), 7400 + fleet));
             let relay = Relay::start(datagrams, setting.seed ^ place as u64)?;
             let address = SocketAddr::from((own_address(place), 6432 + fleet));
-            let lines = Lines::default();
             all.push(Router {
                 address,
                 datagrams,
                 relay,
                 files: Vec::new(),
                 bond: setting.bond,
-                child: None,
-                lines,
+                process: None,
             });
         }
         let peers: Vec<SocketAddr> = all.iter().map(|router| router.relay.address).collect();
@@ -114,19 +107,7 @@
         if router.bond != Bond::Off {
             command.arg("--conf").arg(&router.files[1]);
         }
-        let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
-        let Some(log) = child.stderr.take() else {
-            return Err(std::io::Error::other("the log is not piped"));
-        };
-        router.child = Some(child);
-        router.lines = Lines::default();
-        let kept = Arc::clone(&router.lines);
-        thread::spawn(move || {
-            for line in BufReader::new(log).lines().map_while(Result::ok) {
-                kept.0.lock().unwrap_or_else(PoisonError::into_inner).push(line);
-                kept.1.notify_all();
-            }
-        });
+        router.process = Some(Process::start(command, Kept::Errors)?);
         if !self.await_line(place, "serves at", NEVER) {
             return Err(std::io::Error::other(format!(
                 "router {place} does not serve: {:?}",
@@ -142,25 +123,21 @@
 
     /// As by SIGKILL.
     pub fn kill(&mut self, place: usize) {
-        if let Some(mut child) = self.all[place].child.take() {
-            _ = child.kill();
-            _ = child.wait();
+        if let Some(process) = &mut self.all[place].process {
+            process.kill();
         }
     }
 
     /// A signal by its name, as `-STOP`.
     pub fn signal(&self, place: usize, name: &str) {
-        if let Some(child) = &self.all[place].child {
-            _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        if let Some(process) = &self.all[place].process {
+            process.signal(name);
         }
     }
 
     /// Waits until the process has ended by itself. Whether it ended well.
     pub fn ended(&mut self, place: usize) -> bool {
-        self.all[place]
-            .child
-            .take()
-            .is_some_and(|mut child| child.wait().is_ok_and(|status| status.success()))
+        self.all[place].process.as_mut().is_some_and(Process::ended)
     }
 
     /// Datagrams from the one to the other are lost to this part from now on.
@@ -174,17 +151,12 @@
 
     /// The log since the last start.
     pub fn lines(&self, place: usize) -> Vec<String> {
-        self.all[place].lines.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.all[place].process.as_ref().map(Process::lines).unwrap_or_default()
     }
 
     /// Waits until a line with this in it has been logged since the last start.
     pub fn await_line(&self, place: usize, part: &str, most: Duration) -> bool {
-        let lines = &self.all[place].lines;
-        let missing = |lines: &mut Vec<String>| !lines.iter().any(|line| line.contains(part));
-        let guard = lines.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let (_guard, wait) =
-            lines.1.wait_timeout_while(guard, most, missing).unwrap_or_else(PoisonError::into_inner);
-        !wait.timed_out()
+        self.all[place].process.as_ref().is_some_and(|process| process.await_line(part, most))
     }
 
     /// Its quillpoint.conf, which may be changed while it runs.
@@ -199,20 +171,7 @@
 
     /// The resident memory of the process in bytes, and its processor time so far, as the system counts them.
     pub fn usage(&self, place: usize) -> Option<(u64, Duration)> {
-        let id = self.all[place].child.as_ref()?.id();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let resident = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-        let resident: u64 = resident.split_whitespace().nth(1)?.parse().ok()?;
-        let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
-        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
-        Some((resident * 1024, Duration::from_millis(ticks * 10)))
-    }
-}
-
-impl Drop for Routers {
-    fn drop(&mut self) {
-        (0..self.all.len()).for_each(|place| self.kill(place));
+        self.all[place].process.as_ref()?.usage()
     }
 }
 
@@ -230,12 +189,38 @@
 }
 
 fn platform_json(place: usize, address: SocketAddr, setting: &Setting<'_>) -> Json {
+    let known = json!({"rev": 0, "all": true, "targets": setting.targets});
+    platform(&Platform {
+        name: format!("r{place}"),
+        listen: address,
+        discovery: setting.listing.address,
+        seed: setting.seed.wrapping_add(place as u64),
+        sockets: 512,
+        memory_mb: 192,
+        known,
+    })
+}
+
+/// What of the platform's JSON differs from router to router.
+pub struct Platform {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory_mb: usize,
+    /// The list as it was last known, or null.
+    pub known: Json,
+}
+
+/// The platform's JSON: reads of any age, reads at most 300 ms old, and writes.
+pub fn platform(platform: &Platform) -> Json {
     let class = |name: &str, effect: &str, deadline: f64| json!({"Name": name, "GiveUpMs": deadline, "GoalTimeMs": 150.0, "LateValue": 0.5, "Value": 1.0, "Semantics": effect});
     json!({
-        "name": format!("r{place}"), "listen": address, "discovery": setting.listing.address,
-        "seed": format!("{:x}", setting.seed.wrapping_add(place as u64)),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-        "known": {"rev": 0, "all": true, "targets": setting.targets},
+        "name": platform.name, "listen": platform.listen, "discovery": platform.discovery,
+        "seed": format!("{:x}", platform.seed),
+        "limits": {"cores": 1.0, "memory_mb": platform.memory_mb, "sockets": platform.sockets},
+        "known": platform.known,
         "settings": {
             "Allowed": {"ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0, "MaxAttempts": 6, "Probes": true,
                 "MaxRetryAfterMs": 1000.0, "MayDuplicate": true, "MostHeld": 20000},
--- /dev/null
+++ b/crates/rig/src/scale/books.rs
@@ -0,0 +1,132 @@
+//! What a hollow router has heard of databases: the part of an engine that its control side needs, and no more.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use quillpoint_control::Around;
+use quillpoint_feed::Word;
+use quillpoint_fleet::Evidence;
+
+use crate::now;
+use crate::scale::hollow::side;
+
+/// When a database was first heard to be a primary, and whether it was so by the last word.
+#[derive(Clone, Copy)]
+struct Risen {
+    at: Duration,
+    is_primary: bool,
+}
+
+pub struct Books {
+    unix: Duration,
+    start: Instant,
+    nodes: Rc<BTreeMap<SocketAddr, u16>>,
+    /// Databases of which it is noted when they were last heard of, with that time.
+    sampled: RefCell<BTreeMap<SocketAddr, Option<Duration>>>,
+    movers: Rc<BTreeSet<SocketAddr>>,
+    risen: RefCell<BTreeMap<SocketAddr, Risen>>,
+    /// Probes that are out there.
+    asked: RefCell<BTreeSet<SocketAddr>>,
+    probes: Sender<SocketAddr>,
+    pub cut: Rc<Cell<bool>>,
+    side: u8,
+}
+
+impl Books {
+    pub fn new(
+        listen: SocketAddr,
+        nodes: Rc<BTreeMap<SocketAddr, u16>>,
+        sampled: impl Iterator<Item = SocketAddr>,
+        movers: Rc<BTreeSet<SocketAddr>>,
+        probes: Sender<SocketAddr>,
+        cut: Rc<Cell<bool>>,
+    ) -> Self {
+        Self {
+            unix: now(),
+            start: Instant::now(),
+            nodes,
+            sampled: RefCell::new(sampled.map(|node| (node, None)).collect()),
+            movers,
+            risen: RefCell::default(),
+            asked: RefCell::default(),
+            probes,
+            cut,
+            side: side(listen),
+        }
+    }
+
+    fn note(&self, node: SocketAddr, at: Duration, primary: Option<bool>) {
+        if let Some(heard) = self.sampled.borrow_mut().get_mut(&node) {
+            *heard = (*heard).max(Some(at));
+        }
+        if let Some(primary) = primary
+            && self.movers.contains(&node)
+        {
+            let now = self.now();
+            let risen = &mut *self.risen.borrow_mut();
+            let known = risen.entry(node).or_insert(Risen { at: now, is_primary: false });
+            if primary && !known.is_primary {
+                known.at = now;
+            }
+            known.is_primary = primary;
+        }
+    }
+
+    /// A probe has ended. False if none was out there.
+    pub fn probe_ended(&self, node: SocketAddr, answered: bool, primary: Option<bool>) -> bool {
+        if answered {
+            self.note(node, self.now(), primary);
+        }
+        self.asked.borrow_mut().remove(&node)
+    }
+
+    /// How old what is known of each sampled database is; all that it has ever run, where nothing is known.
+    pub fn ages(&self) -> Vec<Duration> {
+        let now = self.now();
+        let ran = self.start.elapsed();
+        let age = |heard: &Option<Duration>| heard.map_or(ran, |at| now.saturating_sub(at));
+        self.sampled.borrow().values().map(age).collect()
+    }
+
+    pub fn sampled(&self) -> Vec<SocketAddr> {
+        self.sampled.borrow().keys().copied().collect()
+    }
+
+    /// When it was first heard that the database is a primary, which it has been all the time since.
+    pub fn risen(&self, node: SocketAddr) -> Option<Duration> {
+        self.risen.borrow().get(&node).filter(|risen| risen.is_primary).map(|risen| risen.at)
+    }
+}
+
+impl Around for Books {
+    fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+    fn nodes(&self) -> BTreeMap<SocketAddr, u16> {
+        (*self.nodes).clone()
+    }
+    fn hear(&self, evidence: Evidence) {
+        let Evidence { node, at, primary, failed, .. } = evidence;
+        if !failed {
+            self.note(node, at, primary);
+        }
+    }
+    fn learnt(&self, word: Word) {
+        if !word.failed {
+            self.note(word.node, word.at, word.primary);
+        }
+    }
+    fn probe(&self, node: SocketAddr) -> bool {
+        self.asked.borrow_mut().insert(node) && self.probes.try_send(node).is_ok()
+    }
+    fn is_shut(&self, _node: SocketAddr) -> bool {
+        false
+    }
+    fn reaches(&self, other: SocketAddr) -> bool {
+        !self.cut.get() || side(other) == self.side
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/faults.rs
@@ -0,0 +1,76 @@
+//! Faults of a scale run, by name.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+/// A sixth of the routers.
+pub const ONE_IN: usize = 6;
+/// How long routers are down that restart.
+pub const DOWN: Duration = Duration::from_millis(500);
+pub const STOPPED: Duration = Duration::from_secs(3);
+pub const CUT: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A sixth of the routers restarted at once.
+    Restart,
+    /// A sixth of the routers stopped for three seconds, and continued.
+    Stop,
+    /// Two halves cut from each other for half a minute, and healed.
+    Cut,
+    /// A control instance killed.
+    Control,
+    /// A primary changed in the middle of the restart of a sixth.
+    Primary,
+}
+
+pub const ALL: [Fault; 5] = [Fault::Restart, Fault::Stop, Fault::Cut, Fault::Control, Fault::Primary];
+
+#[derive(Debug, thiserror::Error)]
+#[error("fault: expected restart, stop, cut, control or primary, found {0}")]
+pub struct NoFault(String);
+
+impl Fault {
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Restart => "restart",
+            Self::Stop => "stop",
+            Self::Cut => "cut",
+            Self::Control => "control",
+            Self::Primary => "primary",
+        }
+    }
+
+    /// From its beginning until all is as it was before, but for what the routers make of it.
+    pub fn lasts(self) -> Duration {
+        match self {
+            Self::Restart | Self::Primary => DOWN,
+            Self::Stop => STOPPED,
+            Self::Cut => CUT,
+            Self::Control => Duration::ZERO,
+        }
+    }
+}
+
+impl FromStr for Fault {
+    type Err = NoFault;
+    fn from_str(name: &str) -> Result<Self, NoFault> {
+        ALL.into_iter().find(|fault| fault.name() == name).ok_or_else(|| NoFault(name.to_string()))
+    }
+}
+
+/// From when on all is calm: the last quarter of a second in which more than this many times the calm bytes passed
+/// within a second around it. In microseconds after `from_us`; `None` where it was not calm at the end.
+pub fn calm_after(quarters: &[(u64, u64)], from_us: u64, calm_bytes_s: f64, times: f64) -> Option<f64> {
+    let loud = |window: &&[(u64, u64)]| {
+        let bytes: u64 = window.iter().map(|(_, bytes)| bytes).sum();
+        bytes as f64 > calm_bytes_s * times
+    };
+    let last = quarters.windows(4).filter(loud).filter_map(|window| window.last()).next_back();
+    let end = quarters.last().map_or(0, |(at, _)| *at);
+    match last {
+        Some((at, _)) if *at >= end => None,
+        Some((at, _)) => Some(at.saturating_sub(from_us) as f64 / 1e6),
+        None => Some(0.0),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/hollow.rs
@@ -0,0 +1,293 @@
+//! One hollow router: its control side, its books, and the tasks that run both.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use quillpoint_control::{Around, Part, Peers, SubscriberPart, Subscription, Traffic};
+use quillpoint_fleet::{News, PeerName};
+
+use crate::scale::books::Books;
+use crate::scale::orders::Place;
+use crate::scale::prober::Prober;
+
+/// How often statements ask for databases that nobody tells of.
+const ASKED_EVERY: Duration = Duration::from_millis(250);
+
+/// What routers are to each other.
+pub enum Role {
+    Member(Part),
+    Subscriber(SubscriberPart),
+}
+
+/// What all hollow routers of a process have in common.
+pub struct Common {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub prober: Rc<Prober>,
+    /// What a real router of this run is told, of which these differ by name and address alone.
+    pub role: Role,
+    /// Each router's sessions use one in so many databases.
+    pub uses_one_in: usize,
+    pub nodes: Rc<BTreeMap<SocketAddr, u16>>,
+    pub movers: Rc<BTreeSet<SocketAddr>>,
+    pub cut: Rc<Cell<bool>>,
+    pub sampled: usize,
+    pub seed: u64,
+}
+
+/// Whether a router stands still, as a stopped process does: its datagrams wait at its socket.
+#[derive(Default)]
+struct Still {
+    is_still: Cell<bool>,
+    waiting: RefCell<Vec<Waker>>,
+}
+
+impl Still {
+    fn set(&self, is_still: bool) {
+        self.is_still.set(is_still);
+        if !is_still {
+            self.waiting.take().into_iter().for_each(Waker::wake);
+        }
+    }
+
+    /// Runs it while the router does not stand still.
+    async fn hold(self: Rc<Self>, what: impl Future<Output = ()>) {
+        let mut what = pin!(what);
+        poll_fn(|context| {
+            if self.is_still.get() {
+                self.waiting.borrow_mut().push(context.waker().clone());
+                return Poll::Pending;
+            }
+            what.as_mut().poll(context)
+        })
+        .await;
+    }
+}
+
+/// A router's control side.
+#[derive(Clone)]
+enum Control {
+    Member(Rc<Peers>),
+    Subscriber(Rc<Subscription>),
+}
+
+impl Control {
+    fn traffic(&self) -> Traffic {
+        match self {
+            Self::Member(peers) => peers.traffic(),
+            Self::Subscriber(subscription) => subscription.counts().passed.traffic,
+        }
+    }
+
+    fn probes(&self) -> u64 {
+        match self {
+            Self::Member(peers) => peers.counts().probes,
+            Self::Subscriber(subscription) => subscription.counts().probes,
+        }
+    }
+
+    fn state_bytes(&self) -> usize {
+        match self {
+            Self::Member(peers) => peers.fleet().state_bytes(),
+            Self::Subscriber(subscription) => subscription.subscriber().state_bytes(),
+        }
+    }
+}
+
+struct Running {
+    control: Control,
+    books: Rc<Books>,
+    still: Rc<Still>,
+    _tasks: Vec<Task<()>>,
+}
+
+pub struct Hollow {
+    pub name: String,
+    listen: SocketAddr,
+    place: usize,
+    running: Option<Running>,
+    /// Of earlier starts.
+    before: (Traffic, u64),
+}
+
+impl Hollow {
+    /// Not yet started.
+    pub fn new(place: usize, told: Place) -> Self {
+        Self { name: told.name, listen: told.listen, place, running: None, before: Default::default() }
+    }
+
+    /// # Errors
+    /// Its address cannot be had, or its name is none.
+    pub fn start(&mut self, common: &Common) -> std::io::Result<()> {
+        let (probes, asked) = async_channel::unbounded();
+        let seed = common.seed.wrapping_add(self.place as u64);
+        let all = common.nodes.len();
+        // Spread evenly, from another place at each router.
+        let stride = (all / common.sampled.max(1)).max(1);
+        let sampled = (0..common.sampled.min(all))
+            .map(|place| (seed.wrapping_mul(7919) as usize + place * stride) % all);
+        let sampled: BTreeSet<usize> = sampled.collect();
+        let sampled = common.nodes.keys().enumerate().filter(|(place, _)| sampled.contains(place));
+        let (nodes, movers) = (Rc::clone(&common.nodes), Rc::clone(&common.movers));
+        let sampled = sampled.map(|(_, node)| *node);
+        let books = Rc::new(Books::new(self.listen, nodes, sampled, movers, probes, Rc::clone(&common.cut)));
+        let name = PeerName::new(&self.name).map_err(std::io::Error::other)?;
+        let around = Rc::clone(&books) as Rc<dyn Around>;
+        let still = Rc::new(Still::default());
+        let spawn =
+            |task: Pin<Box<dyn Future<Output = ()>>>| common.executor.spawn(Rc::clone(&still).hold(task));
+        let (control, mut tasks) = match &common.role {
+            Role::Member(part) => {
+                let part = Part { name, listen: self.listen, advertise: self.listen, ..part.clone() };
+                let peers = Peers::new(part, around, seed)?;
+                peers.listed();
+                let (one, other) = (Rc::clone(&peers), Rc::clone(&peers));
+                let tasks = vec![spawn(Box::pin(one.listen())), spawn(Box::pin(other.keep_time()))];
+                (Control::Member(peers), tasks)
+            }
+            Role::Subscriber(part) => {
+                let mut part = SubscriberPart { name, listen: self.listen, ..part.clone() };
+                part.plan.region = Some(region(self.listen).to_string());
+                let subscription = Subscription::new(part, around, seed)?;
+                subscription.listed();
+                let (one, other) = (Rc::clone(&subscription), Rc::clone(&subscription));
+                let uses = common.nodes.keys().skip(self.place % common.uses_one_in.max(1));
+                let uses = uses.step_by(common.uses_one_in.max(1)).copied().collect();
+                let alone = ask_alone(Rc::clone(&subscription), Rc::clone(&books), uses);
+                let tasks = vec![
+                    spawn(Box::pin(one.listen())),
+                    spawn(Box::pin(other.keep_time())),
+                    spawn(Box::pin(alone)),
+                ];
+                (Control::Subscriber(subscription), tasks)
+            }
+        };
+        let hands = (Rc::clone(&common.executor), Rc::clone(&common.prober));
+        let fleet = match &control {
+            Control::Member(peers) => Rc::downgrade(peers),
+            // What it finds is nobody else's matter.
+            Control::Subscriber(_) => Weak::new(),
+        };
+        let probing = probe(asked, Rc::clone(&books), fleet, hands, Rc::clone(&still));
+        tasks.push(spawn(Box::pin(probing)));
+        self.running = Some(Running { control, books, still, _tasks: tasks });
+        Ok(())
+    }
+
+    /// Ends at once, as by SIGKILL.
+    pub fn kill(&mut self) {
+        self.before = (self.traffic(), self.probes());
+        self.running = None;
+    }
+
+    pub fn stand_still(&self, is_still: bool) {
+        if let Some(running) = &self.running {
+            running.still.set(is_still);
+        }
+    }
+
+    /// Whether it runs and does not stand still.
+    pub fn runs(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| !running.still.is_still.get())
+    }
+
+    /// Sums over all its starts.
+    pub fn traffic(&self) -> Traffic {
+        let now = self.running.as_ref().map(|running| running.control.traffic()).unwrap_or_default();
+        self.before.0.plus(now)
+    }
+
+    pub fn probes(&self) -> u64 {
+        self.before.1 + self.running.as_ref().map_or(0, |running| running.control.probes())
+    }
+
+    pub fn state_bytes(&self) -> usize {
+        self.running.as_ref().map_or(0, |running| running.control.state_bytes())
+    }
+
+    /// How old what it knows of its sampled databases is.
+    pub fn ages(&self) -> Vec<Duration> {
+        let Some(Running { control, books, .. }) = &self.running else { return Vec::new() };
+        if let Control::Subscriber(subscription) = control {
+            for node in books.sampled() {
+                if let Some(word) = subscription.known(node) {
+                    books.learnt(word);
+                }
+            }
+        }
+        books.ages()
+    }
+
+    pub fn risen(&self, node: SocketAddr) -> Option<Duration> {
+        self.running.as_ref()?.books.risen(node)
+    }
+}
+
+/// A subscriber that no control instance tells probes by itself what its sessions use, as far as its share lets it: as
+/// a real one does while statements come.
+async fn ask_alone(subscription: Rc<Subscription>, books: Rc<Books>, uses: Vec<SocketAddr>) {
+    loop {
+        Timer::after(ASKED_EVERY).await;
+        if !subscription.subscriber().is_alone() {
+            continue;
+        }
+        for node in &uses {
+            if subscription.may_probe(*node) {
+                books.probe(*node);
+            }
+        }
+    }
+}
+
+/// On which side of a cut an address is; the sides are two regions.
+pub fn side(address: SocketAddr) -> u8 {
+    match address {
+        SocketAddr::V4(address) => address.ip().octets()[3] & 1,
+        SocketAddr::V6(address) => address.ip().octets()[15] & 1,
+    }
+}
+
+pub fn region(address: SocketAddr) -> &'static str {
+    ["even", "odd"][usize::from(side(address))]
+}
+
+/// Makes the probes that fall to the router, each as a task of its own, which does not keep a killed one's socket.
+async fn probe(
+    asked: Receiver<SocketAddr>,
+    books: Rc<Books>,
+    peers: Weak<Peers>,
+    (executor, prober): (Rc<LocalExecutor<'static>>, Rc<Prober>),
+    still: Rc<Still>,
+) {
+    while let Ok(node) = asked.recv().await {
+        let (books, peers, prober) = (Rc::clone(&books), peers.clone(), Rc::clone(&prober));
+        let task = async move {
+            let at = books.now();
+            let report = prober.probe(node).await;
+            let (failed, report) = (report.is_none(), report.unwrap_or_default());
+            books.probe_ended(node, !failed, report.primary);
+            if let Some(peers) = peers.upgrade() {
+                let (position, primary) = (report.position, report.primary);
+                let news = News {
+                    node,
+                    age: Duration::ZERO,
+                    position,
+                    primary,
+                    waiting: None,
+                    started: None,
+                    failed,
+                };
+                peers.found(at, true, news);
+            }
+        };
+        executor.spawn(Rc::clone(&still).hold(task)).detach();
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/member.rs
@@ -0,0 +1,230 @@
+//! Real processes of a run, the program as it ships: routers and control instances, each with its files.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use serde_json::Value as Json;
+
+use crate::process::{Kept, Process};
+use crate::record::{Mode, Sizes};
+use crate::routers::{Platform, platform};
+use crate::scale::counters::Sums;
+use crate::scale::hollow::region;
+
+/// What is awaited for so long never comes.
+const NEVER: Duration = Duration::from_secs(30);
+/// Addresses of so many routers stand in each router's file: who has any of them finds all.
+const SEEDS: usize = 5;
+
+/// Whether a process is a router or a control instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Router,
+    Control,
+}
+
+/// Where a process is: for clients, for its fleet's datagrams, and for the feed's.
+#[derive(Clone, Copy, Debug)]
+pub struct Address {
+    pub clients: SocketAddr,
+    pub datagrams: SocketAddr,
+    pub feed: SocketAddr,
+}
+
+/// The files of a run and what all of them say.
+pub struct Files<'a> {
+    pub folder: &'a Path,
+    pub sizes: &'a Sizes,
+    pub discovery: SocketAddr,
+    /// All routers' addresses, the real ones' first, and all control instances'.
+    pub routers: &'a [SocketAddr],
+    pub control: &'a [Address],
+}
+
+pub struct Member {
+    pub kind: Kind,
+    pub name: String,
+    pub address: Address,
+    files: [PathBuf; 2],
+    /// Whether it is told of quillpoint.conf.
+    with_conf: bool,
+    program: PathBuf,
+    process: Option<Process>,
+}
+
+impl Files<'_> {
+    /// The keys of the fleet and of the feed.
+    ///
+    /// # Errors
+    /// A file cannot be written.
+    pub fn write_keys(&self) -> std::io::Result<()> {
+        fs::create_dir_all(self.folder)?;
+        for (name, byte) in [("fleet.keys", "5c"), ("feed.keys", "a3")] {
+            let path = self.folder.join(name);
+            fs::write(&path, format!("# of this run alone\n{}\n", byte.repeat(32)))?;
+            fs::set_permissions(&path, fs::Permissions::from_mode(0o600))?;
+        }
+        Ok(())
+    }
+
+    /// A process's platform and quillpoint.conf, in that order.
+    ///
+    /// # Errors
+    /// A file cannot be written.
+    pub fn write(
+        &self,
+        kind: Kind,
+        name: &str,
+        address: Address,
+        place: usize,
+    ) -> std::io::Result<[PathBuf; 2]> {
+        let sizes = self.sizes;
+        let of_clients = if kind == Kind::Router { sizes.connections } else { 0 };
+        let tree = platform(&Platform {
+            name: name.to_string(),
+            listen: address.clients,
+            discovery: self.discovery,
+            seed: sizes.seed.wrapping_mul(1000).wrapping_add(place as u64),
+            sockets: 256 + sizes.databases + of_clients,
+            memory_mb: 192 + of_clients / 10,
+            known: Json::Null,
+        });
+        let files = [self.folder.join(format!("{name}.json")), self.folder.join(format!("{name}.conf"))];
+        fs::write(&files[0], tree.to_string())?;
+        fs::write(&files[1], self.conf(kind, address))?;
+        Ok(files)
+    }
+
+    fn conf(&self, kind: Kind, address: Address) -> String {
+        let mut text = "log json\n".to_string();
+        let fleet = self.sizes.mode == Mode::Shared || kind == Kind::Control;
+        if fleet {
+            let (listen, every) = (address.datagrams, (self.sizes.period_s * 1000.0).round());
+            text +=
+                &format!("fleet {{\n    listen {listen}\n    advertise {listen}\n    keys fleet.keys\n}}\n");
+            text += &format!("duty probe {{\n    every {every}ms\n}}\n");
+            // All of them twice over, should the others be gone: a budget that is short would be measured instead.
+            let all = self.sizes.databases as f64 / self.sizes.period_s;
+            text = text.replace(
+                "    keys fleet.keys\n",
+                &format!("    keys fleet.keys\n    work-budget {}\n", (all * 2.0).clamp(2000.0, 1e6)),
+            );
+            let control: Vec<SocketAddr> = self.control.iter().map(|address| address.datagrams).collect();
+            let peers = if kind == Kind::Control { &control[..] } else { self.routers };
+            for (place, peer) in peers.iter().take(SEEDS).enumerate() {
+                text += &format!("peer p{place} {{\n    address {peer}\n}}\n");
+            }
+        }
+        if kind == Kind::Control {
+            text += &format!("publish {{\n    listen {}\n    keys feed.keys\n}}\n", address.feed);
+        } else if self.sizes.mode == Mode::Feed {
+            let (listen, near) = (address.datagrams, region(address.datagrams));
+            text +=
+                &format!("subscribe {{\n    listen {listen}\n    keys feed.keys\n    region {near}\n}}\n");
+            for (place, control) in self.control.iter().enumerate() {
+                let (at, region) = (control.feed, region(control.feed));
+                text += &format!("control c{place} {{\n    address {at}\n    region {region}\n}}\n");
+            }
+        }
+        text
+    }
+}
+
+impl Member {
+    /// Not yet started.
+    ///
+    /// # Errors
+    /// A file cannot be written.
+    pub fn new(
+        (kind, place): (Kind, usize),
+        address: Address,
+        files: &Files<'_>,
+        program: &Path,
+    ) -> std::io::Result<Self> {
+        let name = match kind {
+            Kind::Router => format!("r{place}"),
+            Kind::Control => format!("c{place}"),
+        };
+        let written = files.write(kind, &name, address, place)?;
+        let with_conf = files.sizes.mode != Mode::Off || kind == Kind::Control;
+        let program = program.to_path_buf();
+        Ok(Self { kind, name, address, files: written, with_conf, program, process: None })
+    }
+
+    /// Starts it, which takes a while.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start(&mut self) -> std::io::Result<()> {
+        let mut command = Command::new(&self.program);
+        command.arg("serve").arg("--config").arg(&self.files[0]).env_clear();
+        command.current_dir(self.files[0].parent().unwrap_or(Path::new(".")));
+        if self.with_conf {
+            command.arg("--conf").arg(&self.files[1]);
+        }
+        self.process = Some(Process::start(command, Kept::Errors)?);
+        Ok(())
+    }
+
+    /// # Errors
+    /// It does not serve in time.
+    pub fn await_serving(&self) -> std::io::Result<()> {
+        let serves = self.process.as_ref().is_some_and(|process| process.await_line("serves at", NEVER));
+        let lines = || self.process.as_ref().map(Process::lines).unwrap_or_default();
+        if serves { Ok(()) } else { Err(self.fault(&format!("does not serve: {:?}", lines()))) }
+    }
+
+    fn fault(&self, what: &str) -> std::io::Error {
+        std::io::Error::other(format!("{} {what}", self.name))
+    }
+
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    pub fn signal(&self, name: &str) {
+        if let Some(process) = &self.process {
+            process.signal(name);
+        }
+    }
+
+    pub fn runs(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// The resident memory in bytes, and the processor time so far.
+    pub fn usage(&self) -> Option<(u64, Duration)> {
+        self.process.as_ref()?.usage()
+    }
+
+    /// Asks for the counts, of which each event is one; where they will stand in its log.
+    pub fn ask(&self) -> usize {
+        let place = self.process.as_ref().map_or(0, Process::count);
+        self.signal("-HUP");
+        place
+    }
+
+    /// What was asked for: the sums of all its sockets.
+    ///
+    /// # Errors
+    /// Nothing is told in time.
+    pub fn told(&self, place: usize, mode: Mode) -> std::io::Result<Sums> {
+        let events: &[&str] = match (self.kind, mode) {
+            (Kind::Control, _) => &["fleet_counts", "feed_counts"],
+            (Kind::Router, Mode::Shared) => &["fleet_counts"],
+            (Kind::Router, Mode::Feed) => &["feed_counts"],
+            (Kind::Router, Mode::Off) => &[],
+        };
+        let mut all = Sums::default();
+        for event in events {
+            let find = |line: &str| Sums::of(line, event);
+            let found = self.process.as_ref().and_then(|process| process.await_from(place, NEVER, find));
+            all = all.plus(found.ok_or_else(|| self.fault(&format!("tells no {event}")))?);
+        }
+        Ok(all)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/report.rs
@@ -0,0 +1,107 @@
+//! Plays what is wanted one after the other, holds it against its bounds, and tells of it: a line for each size to a
+//! record, one JSON object last.
+
+use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::record::{Bound, Line, Sizes};
+use crate::scale::play::{Failed, Play, Programs, play};
+
+/// A bound as the command line says it.
+///
+/// # Errors
+/// It is no `FIGURE=VALUE`.
+pub fn bound(text: &str) -> Result<(String, f64), String> {
+    let fault = || format!("bound: expected FIGURE=VALUE, found {text}");
+    let (figure, value) = text.split_once('=').ok_or_else(fault)?;
+    Ok((figure.to_string(), value.parse().map_err(|_| fault())?))
+}
+
+/// The last line.
+#[derive(Serialize)]
+struct Verdict<'a> {
+    held: bool,
+    runs: Vec<Told<'a>>,
+    /// Bounds of the command line on figures that no run has.
+    without_figure: Vec<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Told<'a> {
+    sizes: &'a Sizes,
+    fault: &'a Option<String>,
+    figures: &'a BTreeMap<String, f64>,
+    bounds: &'a [Bound],
+}
+
+/// Whether all bounds held.
+///
+/// # Errors
+/// A run could not be played, or the record not written.
+pub fn play_all(
+    plays: &[Play],
+    programs: &Programs,
+    tighter: &[(String, f64)],
+    record: Option<&Path>,
+    quiet: bool,
+) -> Result<bool, Failed> {
+    let mut lines = Vec::new();
+    for wanted in plays {
+        let mut line = play(wanted, programs)?;
+        hold(&mut line, tighter);
+        if !quiet {
+            tell(&line);
+        }
+        if let Some(path) = record {
+            let mut file = OpenOptions::new().create(true).append(true).open(path)?;
+            writeln!(file, "{}", serde_json::to_string(&line).map_err(std::io::Error::from)?)?;
+        }
+        lines.push(line);
+    }
+    let mut runs = Vec::new();
+    for line in &lines {
+        if let Line::Run { sizes, fault, figures, bounds, .. } = line {
+            runs.push(Told { sizes, fault, figures, bounds });
+        }
+    }
+    let has = |name: &str| runs.iter().any(|run| run.bounds.iter().any(|bound| bound.figure == name));
+    let without_figure: Vec<&str> =
+        tighter.iter().map(|(name, _)| name.as_str()).filter(|name| !has(name)).collect();
+    let broken = |run: &Told<'_>| run.bounds.iter().any(|bound| !bound.held);
+    // A bound that nothing is held against holds nothing.
+    let held = without_figure.is_empty() && !runs.iter().any(broken);
+    let verdict = Verdict { held, runs, without_figure };
+    println!("{}", serde_json::to_string(&verdict).map_err(std::io::Error::from)?);
+    Ok(held)
+}
+
+/// Bounds of the command line replace those of the same name, or come on top of them.
+fn hold(line: &mut Line, tighter: &[(String, f64)]) {
+    let Line::Run { figures, bounds, .. } = line else { return };
+    for (name, most) in tighter {
+        let known = bounds.iter().find(|bound| bound.figure == *name).map(|bound| bound.is);
+        let Some(is) = known.or_else(|| figures.get(name).copied()) else { continue };
+        bounds.retain(|bound| bound.figure != *name);
+        bounds.push(Bound { figure: name.clone(), is, most: *most, held: is <= *most });
+    }
+}
+
+fn tell(line: &Line) {
+    let Line::Run { sizes, fault, figures, bounds, .. } = line else { return };
+    let fault = fault.as_ref().map_or(String::new(), |fault| format!(", {fault}"));
+    println!(
+        "{:?}: {} routers ({} real), {} databases, {} control, {} s{fault}",
+        sizes.mode, sizes.routers, sizes.real, sizes.databases, sizes.control, sizes.seconds
+    );
+    for (name, value) in figures {
+        println!("  {name:>28} {value:.4}");
+    }
+    for bound in bounds {
+        let Bound { figure, is, most, held } = bound;
+        println!("  {figure:>28} {is:.4} <= {most:.4}: {}", if *held { "held" } else { "BROKEN" });
+    }
+}
