A scale run settles before it counts: control instances first, second copies come

Routers that started while control instances did not speak yet turned from one to the next and followed three for half a minute, 26 messages a second instead of 20, and hollow ones that started later did not. Second copies still came while it was counted. The budget of duties is said as a whole number.

--- a/crates/rig/src/scale/member.rs
+++ b/crates/rig/src/scale/member.rs
@@ -111,7 +111,7 @@
             let all = self.sizes.databases as f64 / self.sizes.period_s;
             text = text.replace(
                 "    keys fleet.keys\n",
-                &format!("    keys fleet.keys\n    work-budget {}\n", (all * 2.0).clamp(2000.0, 1e6)),
+                &format!("    keys fleet.keys\n    work-budget {}\n", (all * 2.0).ceil().clamp(2000.0, 1e6)),
             );
             let control: Vec<SocketAddr> = self.control.iter().map(|address| address.datagrams).collect();
             let peers = if kind == Kind::Control { &control[..] } else { self.routers };
--- a/crates/rig/src/scale/play.rs
+++ b/crates/rig/src/scale/play.rs
@@ -33,8 +33,13 @@
 const NEVER: Duration = Duration::from_secs(30);
 /// A fleet of which not all follow by then does not settle.
 const SETTLES: Duration = Duration::from_secs(60);
-/// All follow for so long before anything is counted.
+/// Control instances speak by then, and five periods.
+const UP: Duration = Duration::from_millis(1500);
+/// All follow for so long before anything is counted; of the feed, until the second copies have come too.
 const SETTLED: Duration = Duration::from_secs(2);
+const COPIED: Duration = Duration::from_secs(7);
+/// After what was counted, what was changed last may still become known.
+const KNOWN: Duration = Duration::from_secs(2);
 /// How long it is looked at whether it comes to calm after a fault.
 const CALMS: Duration = Duration::from_secs(20);
 /// Calm is at most so many times the calm bytes.
@@ -256,8 +261,15 @@
             _listing: listing,
             promoted: 0,
         };
-        world.control.iter_mut().chain(&mut world.real).try_for_each(Member::start)?;
-        world.control.iter().chain(&world.real).try_for_each(Member::await_serving)?;
+        world.control.iter_mut().try_for_each(Member::start)?;
+        world.control.iter().try_for_each(Member::await_serving)?;
+        if !world.control.is_empty() {
+            // They say nothing before they know all. Routers that start meanwhile turn from one to the next, and come
+            // back to those they prefer over half a minute.
+            sleep(UP + Duration::from_secs_f64(sizes.period_s * 5.0));
+        }
+        world.real.iter_mut().try_for_each(Member::start)?;
+        world.real.iter().try_for_each(Member::await_serving)?;
         if hollow > 0 {
             // The files of a router that is not there: all hollow ones are told the same but for name and address.
             let spare = at(sizes.control + sizes.routers);
@@ -294,7 +306,8 @@
     /// Waits until all hollow routers have followed for a while.
     fn settle(&mut self) -> Result<(), Failed> {
         let (began, mut since) = (Instant::now(), Instant::now());
-        while since.elapsed() < SETTLED {
+        let settled = if self.sizes.mode == Mode::Feed { COPIED } else { SETTLED };
+        while since.elapsed() < settled {
             sleep(Duration::from_millis(250));
             let reports = self.order_crowds(&Order::Count)?;
             let following: usize = reports.iter().map(|report| report.following).sum();
@@ -574,7 +587,11 @@
     let after = world.snapshot(false)?;
     let window = world.window(&before, &after);
     figures.extend(window.figures.clone());
-    world.known(&after.crowds, &mut figures);
+    if sizes.changes > 0.0 {
+        sleep(KNOWN + Duration::from_secs_f64(sizes.period_s));
+        let reports = world.order_crowds(&Order::Count)?;
+        world.known(&reports, &mut figures);
+    }
     if let Some(off) = figures.get("real_off_cpu_part") {
         let on = figures["real_on_cpu_part"];
         figures.insert("real_cpu_part".to_string(), on - off);
