Scale runs hold bounds, and have a short and a long form

The feed's bounds are held in each run, bytes at twice the databases between two; clients that ask and clients that only stay stand before real routers.

--- /dev/null
+++ b/crates/rig/src/scale/clients.rs
@@ -0,0 +1,67 @@
+//! Clients of the real routers: some that ask at a pace, and some that only stay.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use quillpoint_router::pg::{self, Told};
+
+use crate::load::Load;
+use crate::store::next;
+
+/// So many clients a router ask in turn.
+const ASKING: usize = 10;
+const TIME_OUT: Duration = Duration::from_secs(10);
+
+pub struct Clients {
+    load: Option<Load>,
+    _staying: Vec<TcpStream>,
+}
+
+impl Clients {
+    /// At each router, so many statements a second by a few clients, and so many connections that only stay.
+    ///
+    /// # Errors
+    /// A connection cannot be had.
+    pub fn start(routers: &[SocketAddr], connections: usize, statements: f64) -> std::io::Result<Self> {
+        let mut staying = Vec::new();
+        for router in routers {
+            for _ in 0..connections {
+                staying.push(connect(*router)?);
+            }
+        }
+        let every =
+            Duration::from_secs_f64(ASKING as f64 / statements.max(f64::MIN_POSITIVE).min(1e6).max(1e-3));
+        let load = (statements > 0.0).then(|| Load::of(routers, ASKING, every, &["look"]));
+        Ok(Self { load, _staying: staying })
+    }
+
+    /// How many statements have been answered by now, and how many of them well.
+    pub fn answered(&self) -> (u64, u64) {
+        let Some(load) = &self.load else { return (0, 0) };
+        (load.tally.rpcs(), load.tally.ok.load(std::sync::atomic::Ordering::SeqCst))
+    }
+
+    /// All have had their last answer when this returns.
+    pub fn end(self) {
+        if let Some(load) = self.load {
+            load.end();
+        }
+    }
+}
+
+fn connect(router: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&router, TIME_OUT)?;
+    stream.set_read_timeout(Some(TIME_OUT))?;
+    let (mut out, mut unread) = (Vec::new(), Vec::new());
+    pg::put_startup(&mut out, "portal", "crm");
+    stream.write_all(&out)?;
+    loop {
+        match next(&mut stream, &mut unread, pg::told) {
+            Some(Told::Ready) => return Ok(stream),
+            Some(Told::Error { message, .. }) => return Err(std::io::Error::other(message)),
+            Some(_) => {}
+            None => return Err(std::io::Error::other(format!("{router} does not greet a client"))),
+        }
+    }
+}
--- a/crates/rig/src/scale/forms.rs
+++ b/crates/rig/src/scale/forms.rs
@@ -1,7 +1,7 @@
 //! Which sizes the short and the long form play.
 
 use crate::record::{Axis, Mode, Sizes};
-use crate::scale::faults::Fault;
+use crate::scale::faults::{ALL, Fault};
 use crate::scale::play::Play;
 use crate::scale::sizes::hollow_processes;
 
@@ -23,27 +23,57 @@
     }
 }
 
+fn with_real(sizes: Sizes, real: usize) -> Sizes {
+    Sizes { real, hollow_processes: hollow_processes(sizes.mode, sizes.routers - real), ..sizes }
+}
+
 fn play(sizes: Sizes, axis: Option<Axis>, fault: Option<Fault>) -> Play {
-    Play { sizes, axis, fault, with_cpu: true }
+    Play { sizes, axis, fault, with_cpu: fault.is_none() }
 }
 
-/// A few small sizes, and one fault.
+/// Today's sharing, the feed at once and twice the databases, and a restart: under three minutes.
 pub fn short(seed: u64) -> Vec<Play> {
-    let with_changes = |sizes: Sizes| Sizes { changes: 1.0, ..sizes };
+    let feed = |routers, databases| Sizes { changes: 1.0, ..sizes(Mode::Feed, routers, databases, seed) };
     vec![
-        play(with_changes(sizes(Mode::Shared, 50, 250, seed)), None, None),
-        play(with_changes(sizes(Mode::Shared, 100, 250, seed)), None, None),
+        play(sizes(Mode::Shared, 150, 250, seed), None, None),
+        play(feed(200, 250), None, None),
+        play(feed(200, 500), None, None),
+        play(feed(500, 250), None, Some(Fault::Restart)),
     ]
 }
 
-/// All axes, each with at least four sizes, largest last, and the faults at the largest.
+/// All axes, each with at least four sizes, largest last, and the faults at the largest number of routers. Periods are
+/// lengthened where the databases would take the cores.
 pub fn long(seed: u64) -> Vec<Play> {
     let mut plays = Vec::new();
-    for routers in [25, 50, 100, 200] {
-        plays.push(play(sizes(Mode::Shared, routers, 250, seed), Some(Axis::Routers), None));
+    let calm = |sizes: Sizes, axis: Axis| play(sizes, Some(axis), None);
+    for routers in [250, 500, 1000, 2000, 4000] {
+        plays.push(calm(sizes(Mode::Feed, routers, 250, seed), Axis::Routers));
+    }
+    for databases in [1125, 2250, 4500, 9000, 18_000] {
+        let sizes = Sizes { period_s: 2.0, ..sizes(Mode::Feed, 250, databases, seed) };
+        plays.push(calm(sizes, Axis::Databases));
+    }
+    for routers in [100, 150, 200, 250] {
+        plays.push(calm(sizes(Mode::Shared, routers, 250, seed), Axis::Routers));
+    }
+    for databases in [500, 1000, 1500, 2000] {
+        plays.push(calm(sizes(Mode::Shared, 50, databases, seed), Axis::Databases));
+    }
+    for changes in [0.2, 1.0, 4.0, 10.0] {
+        let sizes = Sizes { changes, ..sizes(Mode::Feed, 500, 1000, seed) };
+        plays.push(calm(Sizes { period_s: 0.5, ..sizes }, Axis::Changes));
+    }
+    for connections in [1000, 2000, 4000, 8481] {
+        let sizes = Sizes { connections, ..with_real(sizes(Mode::Feed, 50, 250, seed), 2) };
+        plays.push(calm(sizes, Axis::Connections));
+    }
+    for statements in [100.0, 250.0, 500.0, 1000.0] {
+        let sizes = Sizes { statements, ..with_real(sizes(Mode::Feed, 50, 250, seed), 4) };
+        plays.push(calm(sizes, Axis::Statements));
     }
-    for databases in [250, 500, 1000, 2000] {
-        plays.push(play(sizes(Mode::Shared, 50, databases, seed), Some(Axis::Databases), None));
+    for fault in ALL {
+        plays.push(play(sizes(Mode::Feed, 2000, 500, seed), None, Some(fault)));
     }
     plays
 }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -6,7 +6,9 @@
 //! figures mean stands in `docs/measurements/README.md`.
 
 pub mod books;
+pub mod bounds;
 pub mod calibration;
+pub mod clients;
 pub mod counters;
 pub mod crowd;
 pub mod databases;
--- a/crates/rig/src/scale/play.rs
+++ b/crates/rig/src/scale/play.rs
@@ -22,12 +22,13 @@
 use crate::now;
 use crate::process::{Kept, Process};
 use crate::record::{Axis, Bound, Line, Mode, Sizes};
-use crate::scale::calibration;
+use crate::scale::clients::Clients;
 use crate::scale::counters::{Rates, Sums, merged, rates};
 use crate::scale::faults::{DOWN, Fault, ONE_IN, calm_after};
 use crate::scale::member::{Address, Files, Kind, Member};
 use crate::scale::orders::{CrowdPlan, CrowdReport, DatabasesPlan, DatabasesReport, Order, Place};
 use crate::scale::sizes::{self, BadSize, DATABASES_A_PROCESS, Machine};
+use crate::scale::{bounds, calibration};
 
 /// What is awaited for so long never comes.
 const NEVER: Duration = Duration::from_secs(30);
@@ -355,6 +356,18 @@
         })
     }
 
+    /// Clients of the real routers, as the sizes say.
+    fn clients(&self) -> std::io::Result<Clients> {
+        let routers: Vec<SocketAddr> = self.real.iter().map(|member| member.address.clients).collect();
+        Clients::start(&routers, self.sizes.connections, self.sizes.statements)
+    }
+
+    /// The resident memory of the mean real router.
+    fn real_memory(&self) -> f64 {
+        let all: Vec<u64> = self.real.iter().filter_map(Member::usage).map(|(bytes, _)| bytes).collect();
+        all.iter().sum::<u64>() as f64 / all.len().max(1) as f64
+    }
+
     fn cpu(&self) -> Cpu {
         let shared = self.crowds.len() - self.alone;
         let time = |crowd: &StandIn| crowd.process.usage().map(|(_, time)| time);
@@ -464,10 +477,8 @@
             "database_probes_s",
             (probes(after) - probes(before)) as f64 / seconds / self.sizes.databases as f64,
         );
-        let real_memory: Vec<u64> =
-            self.real.iter().filter_map(Member::usage).map(|(bytes, _)| bytes).collect();
-        if !real_memory.is_empty() {
-            put("real_memory_bytes", real_memory.iter().sum::<u64>() as f64 / real_memory.len() as f64);
+        if !self.real.is_empty() {
+            put("real_memory_bytes", self.real_memory());
         }
         Window { hollow, control, figures }
     }
@@ -574,19 +585,35 @@
         };
         let mut world = World::start(&off, programs)?;
         sleep(SETTLED);
+        let clients = world.clients()?;
         let before = world.snapshot(true)?;
         sleep(Duration::from_secs_f64(OFF_S.min(sizes.seconds)));
         let after = world.snapshot(false)?;
+        clients.end();
         let window = world.window(&before, &after);
         figures.insert("real_off_cpu_part".to_string(), window.figures["real_on_cpu_part"]);
     }
     let mut world = World::start(sizes, programs)?;
     world.settle()?;
+    let lean = world.real_memory();
+    let clients = world.clients()?;
+    if sizes.connections > 0 {
+        let each = (world.real_memory() - lean) / sizes.connections as f64;
+        figures.insert("connection_memory_bytes".to_string(), each);
+    }
     let before = world.snapshot(true)?;
+    let (answered, ok) = clients.answered();
     world.pass(Duration::from_secs_f64(sizes.seconds))?;
     let after = world.snapshot(false)?;
     let window = world.window(&before, &after);
     figures.extend(window.figures.clone());
+    if sizes.statements > 0.0 {
+        let (all, well) = clients.answered();
+        let seconds = (after.at - before.at).as_secs_f64() * sizes.real as f64;
+        figures.insert("statements_s".to_string(), (all - answered) as f64 / seconds);
+        figures.insert("statements_ok_s".to_string(), (well - ok) as f64 / seconds);
+    }
+    clients.end();
     if sizes.changes > 0.0 {
         sleep(KNOWN + Duration::from_secs_f64(sizes.period_s));
         let reports = world.order_crowds(&Order::Count)?;
@@ -600,6 +627,7 @@
     if let Some(fault) = play.fault {
         bounds.extend(strike(&mut world, fault, &window, &mut figures)?);
     }
+    bounds.extend(bounds::of(sizes, play.fault, &figures));
     Ok(Line::Run {
         axis: play.axis,
         fault: play.fault.map(|fault| fault.name().to_string()),
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::record::{Bound, Line, Sizes};
+use crate::scale::bounds;
 use crate::scale::play::{Failed, Play, Programs, play};
 
 /// A bound as the command line says it.
@@ -62,6 +63,7 @@
         }
         lines.push(line);
     }
+    compare(&mut lines, tighter);
     let mut runs = Vec::new();
     for line in &lines {
         if let Line::Run { sizes, fault, figures, bounds, .. } = line {
@@ -79,6 +81,22 @@
     Ok(held)
 }
 
+/// What holds between two runs is entered with the later one.
+fn compare(lines: &mut [Line], tighter: &[(String, f64)]) {
+    for later in 1..lines.len() {
+        let (before, after) = lines.split_at_mut(later);
+        let Line::Run { sizes, figures, bounds: held, fault: None, .. } = &mut after[0] else { continue };
+        let found = before.iter().find_map(|line| match line {
+            Line::Run { sizes: once, figures: of_once, fault: None, .. } => {
+                bounds::twice((once, of_once), (sizes, figures))
+            }
+            _ => None,
+        });
+        held.extend(found);
+        hold(&mut after[0], tighter);
+    }
+}
+
 /// Bounds of the command line replace those of the same name, or come on top of them.
 fn hold(line: &mut Line, tighter: &[(String, f64)]) {
     let Line::Run { figures, bounds, .. } = line else { return };
