--- a/crates/rig/src/scale/play.rs
+++ b/crates/rig/src/scale/play.rs
@@ -43,6 +43,9 @@
 const KNOWN: Duration = Duration::from_secs(2);
 /// How long it is looked at whether it comes to calm after a fault.
 const CALMS: Duration = Duration::from_secs(20);
+/// How often that is looked at, and how long it must have been calm.
+const LOOKS: Duration = Duration::from_secs(1);
+const CALM: Duration = Duration::from_secs(4);
 /// Calm is at most so many times the calm bytes.
 const CALM_TIMES: f64 = 1.25;
 /// Databases of a group: a primary and its replicas.
@@ -671,26 +674,27 @@
         sleep(DOWN / 2);
         world.promote()?;
     }
-    while now() < ended + CALMS {
+    let hollow = world.sizes.routers - world.sizes.real;
+    let calm_bytes = (calm.hollow.bytes_in + calm.hollow.bytes_out) * hollow as f64;
+    let (ended_us, mut looked_at) = (ended.as_micros() as u64, now());
+    let (reports, calm_after) = loop {
         sleep(Duration::from_millis(200));
         quarters.look(world)?;
-    }
-    let reports = world.order_crowds(&Order::Count)?;
-    let ended_us = ended.as_micros() as u64;
+        if now() < looked_at + LOOKS && now() < ended + CALMS {
+            continue;
+        }
+        looked_at = now();
+        let reports = world.order_crowds(&Order::Count)?;
+        let calm_after = calm_after(&by_quarter(&reports), ended_us, calm_bytes, CALM_TIMES);
+        let follow = reports.iter().map(|report| report.following).sum::<usize>() == hollow;
+        let quiet = calm_after.is_some_and(|after| now() > ended + Duration::from_secs_f64(after) + CALM);
+        if (follow && quiet) || now() >= ended + CALMS {
+            break (reports, calm_after);
+        }
+    };
     let unfollowed = reports.iter().map(|report| report.unfollowed_us).max().unwrap_or(0);
-    let hollow = world.sizes.routers - world.sizes.real;
     let following: usize = reports.iter().map(|report| report.following).sum();
     let peak = reports.iter().map(|report| report.peak_quarter).max().unwrap_or(0);
-    let mut all: BTreeMap<u64, u64> = BTreeMap::new();
-    for (at, bytes) in reports.iter().flat_map(|report| &report.quarters) {
-        // Processes look at their routers at moments of their own.
-        *all.entry(at / 250_000 * 250_000).or_default() += bytes;
-    }
-    // The last one may not have come from all.
-    all.pop_last();
-    let all: Vec<(u64, u64)> = all.into_iter().collect();
-    let calm_bytes = (calm.hollow.bytes_in + calm.hollow.bytes_out) * hollow as f64;
-    let calm_after = calm_after(&all, ended_us, calm_bytes, CALM_TIMES);
     let mut put = |name: &str, value: f64| _ = figures.insert(name.to_string(), value);
     put("follow_max_s", unfollowed.saturating_sub(ended_us) as f64 / 1e6);
     put("follow_missing", (hollow - following) as f64);
@@ -715,6 +719,17 @@
     ])
 }
 
+/// Bytes in and out of all hollow routers by quarters of a second, but for the last, which may not have come from all.
+fn by_quarter(reports: &[CrowdReport]) -> Vec<(u64, u64)> {
+    let mut all: BTreeMap<u64, u64> = BTreeMap::new();
+    for (at, bytes) in reports.iter().flat_map(|report| &report.quarters) {
+        // Processes look at their routers at moments of their own.
+        *all.entry(at / 250_000 * 250_000).or_default() += bytes;
+    }
+    all.pop_last();
+    all.into_iter().collect()
+}
+
 /// Control instances by the quarter of a second or so.
 #[derive(Default)]
 struct Quarters {
