--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -48,6 +48,7 @@
 const STOP: &str = "stop";
 const CUT: &str = "cut";
 const KILL: &str = "control";
+const KILL_ALL: &str = "control-all";
 const PRIMARY: &str = "primary";
 
 /// How a row stands to today's program.
@@ -320,6 +321,14 @@
                 fault(RESTART, "router_memory_bytes"),
                 "feed, control",
             ),
+            ask(
+                router,
+                "state of control, the most through a restart of a sixth, bytes",
+                feed,
+                Budget::Most(ROUTER_MEMORY),
+                fault(RESTART, "peak_router_state_bytes"),
+                "feed, control",
+            ),
         ],
         "zone" => vec![
             ask(
@@ -462,6 +471,14 @@
                 "time until views agree after healing, s",
                 feed,
                 Budget::Most(5.0),
+                fault(CUT, "agree_max_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "time until bytes are as before, after healing, s",
+                feed,
+                Budget::None,
                 fault(CUT, "calm_after_s"),
                 "feed",
             ),
@@ -531,6 +548,14 @@
                 fault(KILL, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
+            ask(
+                router,
+                "bytes sent a second, no control instance left",
+                feed,
+                Budget::Most(ROUTER_BYTES_S),
+                fault(KILL_ALL, "alone_router_bytes_out_s"),
+                "feed",
+            ),
         ],
         "burst" => {
             let burst = || vec![Over::Size(Axis::Changes, BURST)];
