--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -89,10 +89,10 @@
     fn tell_counts(&self) {
         let Passed { traffic, taken, refused } = self.post.passed();
         let Traffic { sent, sent_bytes, read, read_bytes } = traffic;
-        let subscribers = self.subscribers();
+        let (subscribers, state) = (self.subscribers(), self.state_bytes());
         let kinds: Vec<String> = refused.iter().map(|(kind, count)| format!("{kind:?}:{count}")).collect();
         log::info!(
-            event = "feed_counts", sent, sent_bytes, taken, read, read_bytes, subscribers,
+            event = "feed_counts", sent, sent_bytes, taken, read, read_bytes, subscribers, state,
             refused = kinds.join(",");
             "datagrams to and from routers since the start"
         );
@@ -146,4 +146,9 @@
     pub fn subscribers(&self) -> usize {
         self.publisher.borrow().subscribers()
     }
+
+    /// About the bytes that it keeps.
+    pub fn state_bytes(&self) -> usize {
+        self.publisher.borrow().state_bytes()
+    }
 }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -121,10 +121,10 @@
     fn tell_counts(&self) {
         let Counts { passed: Passed { traffic, taken, refused }, probes, spared } = self.counts();
         let Traffic { sent, sent_bytes, read, read_bytes } = traffic;
-        let following = self.subscriber.borrow().follows_by().count();
+        let (following, state) = (self.subscriber.borrow().follows_by().count(), self.state_bytes());
         let kinds: Vec<String> = refused.iter().map(|(kind, count)| format!("{kind:?}:{count}")).collect();
         log::info!(
-            event = "feed_counts", sent, sent_bytes, taken, read, read_bytes, probes, spared, following,
+            event = "feed_counts", sent, sent_bytes, taken, read, read_bytes, probes, spared, following, state,
             refused = kinds.join(",");
             "datagrams to and from control instances, and probes, since the start"
         );
@@ -185,6 +185,12 @@
         self.call(|subscriber, now| subscriber.known(now, node))
     }
 
+    /// About the bytes that it keeps.
+    pub fn state_bytes(&self) -> usize {
+        let told = self.told.borrow().len() * size_of::<(SocketAddr, (u64, Duration))>();
+        self.subscriber.borrow().state_bytes() + told
+    }
+
     /// For whoever looks on: nothing is changed by it.
     pub fn subscriber(&self) -> Ref<'_, Subscriber<impl Host>> {
         self.subscriber.borrow()
