Tests of the feed: goodbye heard by a follower of its own, and the pace of being alone

Both passed on a text without what they are for: a control instance that ends is silent half a second later anyway, and routers under quick reads of fresh replicas have no wish to probe.

--- a/crates/router/tests/feed.rs
+++ b/crates/router/tests/feed.rs
@@ -14,8 +14,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use quillpoint_datagram::Sealer;
 use quillpoint_datagram::keys::Keyring;
+use quillpoint_datagram::{Opener, Sealer};
 use quillpoint_feed::message::{CLASSES, DigestNo, PARTS, Revision};
 use quillpoint_feed::{Digest, Envelope, Message};
 use quillpoint_fleet::{Incarnation, PeerName};
@@ -270,10 +270,12 @@
 
 #[test]
 fn when_none_is_left_the_routers_go_on_alone_within_their_pace() {
-    // So rare that a router which paced itself by its own reads alone would probe many times as often.
+    // So rare, and replicas so near the bound, that a router which paced itself by its reads alone would probe many
+    // times as often.
     let period = Duration::from_secs(1);
-    let mut five = Five::started("none", &[20, 20], "1s");
-    let load = five.load(&["recent", "look", "recent", "enter"]);
+    let mut five = Five::started("none", &[270, 270], "1s");
+    let load =
+        Load::of(&five.addresses(), 1, Duration::from_millis(40), &["recent", "recent", "recent", "enter"]);
     CONTROL.iter().for_each(|place| five.routers.kill(*place));
     for place in ROUTERS {
         assert!(five.routers.await_line(place, "\"feed_alone\"", NEVER));
@@ -427,12 +429,59 @@
     }
 }
 
+/// A subscriber of the test's own, which shows what is said.
+struct Follower {
+    socket: UdpSocket,
+    name: PeerName,
+    control: SocketAddr,
+    keys: Keyring,
+    sealer: Sealer,
+    opener: Opener<Envelope>,
+}
+
+impl Follower {
+    const START: Incarnation = Incarnation(77);
+
+    fn new(name: &str, control: SocketAddr) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+        let (name, keys) = (PeerName::new(name).unwrap(), Keyring::parse(&OWN_KEY.repeat(32)).unwrap());
+        Self { socket, name, control, keys, sealer: Sealer::default(), opener: Opener::of(4) }
+    }
+
+    /// Subscribes again and again until it is told this.
+    fn until(&mut self, what: &str, found: impl Fn(&Message) -> bool) {
+        let end = now() + NEVER;
+        let mut asked = Duration::ZERO;
+        while now() < end {
+            if asked + Duration::from_secs(1) < now() {
+                asked = now();
+                let message = Message::Subscribe;
+                let envelope = Envelope { from: self.name.clone(), start: Self::START, message };
+                let bytes = self.sealer.seal(&self.keys, None, &envelope).unwrap();
+                _ = self.socket.send_to(&bytes, self.control);
+            }
+            let mut bytes = [0; 1500];
+            // While nobody listens there the system may say so, which is no answer either.
+            let Ok((length, _)) = self.socket.recv_from(&mut bytes) else { continue };
+            let opened = self.opener.open(&self.keys, Self::START, &bytes[..length]);
+            if opened.is_ok_and(|envelope| found(&envelope.message)) {
+                return;
+            }
+        }
+        panic!("never told: {what}");
+    }
+}
+
 #[test]
 fn a_control_instance_that_is_told_to_stop_says_goodbye() {
     let mut five = Five::started("leave", &[20], "50ms");
+    let mut follower = Follower::new("x1", five.feed(0));
+    follower.until("digests", |message| matches!(message, Message::Digest(_)));
     five.routers.signal(0, "-TERM");
     assert!(five.routers.ended(0));
     assert_eq!(five.events(0, "feed_left").len(), 1);
+    follower.until("goodbye", |message| *message == Message::Leaving);
     ROUTERS.iter().for_each(|place| five.follows(*place, &["r1"]));
     // A router says so too, and is told nothing any more.
     five.routers.signal(2, "-TERM");
