--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
@@ -12,13 +13,15 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
-use quillpoint::host::Outcome;
+use quillpoint::host::{MethodId, Outcome, RpcId};
 use quillpoint_accounts::{Pace, Progress, Purpose, Relief};
 
-use crate::budget::{Accounts, Exhausted, Held};
+use crate::budget::{Accounts, Exhausted};
 use crate::deployment::Deployment;
 use crate::descriptors::{Descriptors, Rank, Side, Slot};
 use crate::engine::{Engine, Order};
+use crate::incoming::{Incoming, PIECE, Stop};
+use crate::line::{Answered, Line, Written};
 use crate::open_ids::OpenIds;
 use crate::pg::{self, Asked, Broken, CancelKey, Opening};
 use crate::pool::Pool;
@@ -26,9 +29,7 @@
 use crate::seldom::Seldom;
 use crate::statement::{Kept, Statement};
 
-/// How much is read at once.
-const PIECE: usize = 4096;
-/// How far a client that sends ahead of its answers is read while an RPC is out.
+/// How far a client that sends ahead of its answers is read while something is in line, beyond what is in line.
 const READ_AHEAD: usize = 4 * PIECE;
 /// How long a connection may take to its first whole message, and a message that has begun at the most.
 const OPENING: Duration = Duration::from_secs(2);
@@ -46,6 +47,8 @@
 /// A pause after a failed accept, so that a failure that lasts does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
+const HOLDS_ALL: &str = "this router holds all the RPCs it may";
+
 /// Why a session ended.
 #[derive(Debug, thiserror::Error)]
 enum End {
@@ -67,6 +70,24 @@
     Faults,
 }
 
+impl From<Stop> for End {
+    fn from(stop: Stop) -> Self {
+        match stop {
+            Stop::Io(error) => Self::Io(error),
+            Stop::Exhausted(exhausted) => Self::Exhausted(exhausted),
+            Stop::End => Self::Left,
+        }
+    }
+}
+
+/// What a session has to go on with.
+enum Event {
+    Came,
+    Cancelled,
+    Answered,
+    Sent(Result<(), End>),
+}
+
 impl End {
     /// What the client is told of it, where it is the client's doing.
     fn code(&self) -> Option<&'static str> {
@@ -186,14 +207,15 @@
             let session = Session {
                 clients: &clients,
                 stream: Rc::new(stream),
-                unread: Vec::new(),
-                memory: clients.accounts.owner(Purpose::Coming),
+                incoming: Incoming::new(clients.accounts.owner(Purpose::Coming)),
+                written: Rc::default(),
                 close,
                 closed,
                 key,
                 cancelled,
                 slot,
                 discards: false,
+                faults: 0,
                 opening: Some(Instant::now() + OPENING),
             };
             let end = session.live().await;
@@ -239,8 +261,9 @@
     clients: &'a Rc<Clients>,
     /// Attempts look whether the client is still there.
     stream: Rc<Async<TcpStream>>,
-    unread: Vec<u8>,
-    memory: Held,
+    incoming: Incoming,
+    /// What RPCs of this connection have written.
+    written: Rc<RefCell<Written>>,
     close: Sender<()>,
     closed: async_channel::Receiver<()>,
     key: CancelKey,
@@ -248,6 +271,8 @@
     slot: Slot,
     /// After a message of the extended protocol, all is passed over up to Sync.
     discards: bool,
+    /// Statements in a row that cannot be used.
+    faults: usize,
     /// By when the first whole message within the session must have come, until it has.
     opening: Option<Instant>,
 }
@@ -263,43 +288,132 @@
         end
     }
 
+    /// Reads ahead, goes on with what is in line, and writes what is due, all of it side by side.
     async fn run(&mut self) -> Result<(), End> {
         if !self.open().await? {
             return Ok(());
         }
-        let mut faults = 0;
+        let (mut line, mut sending) = (Line::default(), None);
+        // How the session ends once all that came before has been answered.
+        let mut last = None;
+        let mut whole_by = self.opening;
         loop {
-            let mut out = Vec::new();
-            let asked = self.next(pg::asked).await?;
-            self.opening = None;
-            match asked {
-                Asked::Terminate => return Ok(()),
-                Asked::Sync => {
-                    self.discards = false;
-                    pg::put_ready(&mut out);
+            let accounts = &self.clients.accounts;
+            while last.is_none()
+                && line.has_room(accounts.look(|ledger| ledger.calls_for(Relief::EndSlowest)))
+            {
+                last = match self.incoming.take(pg::asked) {
+                    Ok(None) => break,
+                    Ok(Some((asked, arrived))) => {
+                        (self.opening, whole_by) = (None, None);
+                        self.take(asked, arrived, &mut line)
+                    }
+                    Err(broken) => Some(Err(broken.into())),
+                };
+            }
+            if sending.is_none() {
+                if let Some(answered) = line.due() {
+                    sending =
+                        Some(Box::pin(send(Rc::clone(self.clients), Rc::clone(&self.stream), answered)));
+                } else if line.is_empty()
+                    && let Some(end) = last
+                {
+                    return end;
+                }
+            }
+            let (cancelled, rests) = (self.cancelled.clone(), line.is_empty() && sending.is_none());
+            let came = async {
+                match rests {
+                    true => self.more(&mut whole_by).await,
+                    false => self.ahead().await,
+                }?;
+                Ok(Event::Came)
+            };
+            let cancel = async {
+                match cancelled.recv().await {
+                    Ok(()) => Ok(Event::Cancelled),
+                    Err(_) => future::pending().await,
                 }
-                _ if self.discards => {}
-                Asked::Extended => {
-                    self.discards = true;
-                    pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
+            };
+            let answered = future::poll_fn(|cx| match line.poll(cx) {
+                true => Poll::Ready(Ok(Event::Answered)),
+                false => Poll::Pending,
+            });
+            let sent = async {
+                match &mut sending {
+                    Some(sending) => Ok(Event::Sent(sending.as_mut().await)),
+                    None => future::pending().await,
                 }
-                Asked::Query(_) if !self.slot.is_let_in() => {
-                    put_no_room(&mut out, true, "this router has no socket left for it");
-                    return self.send(&out).await;
+            };
+            // Whether the client is still there is looked at first: an order may have come at the same time.
+            match came.or(cancel).or(answered).or(sent).await {
+                Ok(Event::Came | Event::Answered) => {}
+                Ok(Event::Cancelled) => {
+                    let mut out = Vec::new();
+                    pg::put_error(&mut out, false, "57014", "cancelled by its client; it may have run", None);
+                    line.cancel(self.clients.ready(out));
                 }
-                Asked::Query(text) => {
-                    let usable = self.query(text, &mut out).await?;
-                    faults = if usable { 0 } else { faults + 1 };
-                    pg::put_ready(&mut out);
+                Ok(Event::Sent(whole)) => {
+                    whole?;
+                    sending = None;
+                    // A client that always has more to say must not keep the others from theirs.
+                    future::yield_now().await;
+                }
+                Err(end) => {
+                    // What is under way ends at once, and what waits is not begun; a last answer may still go out.
+                    drop(line);
+                    if let Some(sending) = sending {
+                        _ = sending.await;
+                    }
+                    return Err(end);
                 }
             }
-            self.send(&out).await?;
-            if faults >= FAULTS_BORNE {
-                return Err(End::Faults);
+        }
+    }
+
+    /// Puts a message in line. How the session ends, where it is the last one.
+    fn take(&mut self, asked: Asked, arrived: Instant, line: &mut Line) -> Option<Result<(), End>> {
+        let mut out = Vec::new();
+        match asked {
+            Asked::Terminate => return Some(Ok(())),
+            Asked::Sync => {
+                self.discards = false;
+                pg::put_ready(&mut out);
             }
-            // A client that always has more to say must not keep the others from theirs.
-            future::yield_now().await;
+            _ if self.discards => {}
+            Asked::Extended => {
+                self.discards = true;
+                pg::put_error(&mut out, false, "0A000", "only simple queries are taken", None);
+            }
+            Asked::Query(_) if !self.slot.is_let_in() => {
+                put_no_room(&mut out, true, "this router has no socket left for it");
+                line.answer(self.clients.answered(out));
+                return Some(Ok(()));
+            }
+            Asked::Query(text) => match self.statement(text, &mut out) {
+                Ok(Some((method, kept))) => {
+                    self.faults = 0;
+                    // What was cancelled before anything was under way is over.
+                    while !line.is_busy() && self.cancelled.try_recv().is_ok() {}
+                    let reach = self.clients.engine.reach(method, &kept.statement);
+                    let (clients, written) = (Rc::clone(self.clients), Rc::clone(&self.written));
+                    line.ask(reach, Box::pin(clients.rpc(method, Rc::new(kept), arrived, written)));
+                    return None;
+                }
+                Ok(None) => {
+                    self.faults = 0;
+                    pg::put_ready(&mut out);
+                }
+                Err(Unusable) => {
+                    self.faults += 1;
+                    pg::put_ready(&mut out);
+                }
+            },
+        }
+        if !out.is_empty() {
+            line.answer(self.clients.answered(out));
         }
+        (self.faults >= FAULTS_BORNE).then_some(Err(End::Faults))
     }
 
     /// The one place that ends a client's connection from this side: the router ends its sending, reads on for a
@@ -313,15 +427,14 @@
         if let Some(code) = end.code() {
             let mut out = Vec::new();
             pg::put_error(&mut out, true, code, &end.to_string(), None);
-            if self.send(&out).await.is_err() {
+            if self.send(out).await.is_err() {
                 return;
             }
         }
         if self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
-        self.unread = Vec::new();
-        _ = self.memory.resize(0);
+        self.incoming.clear();
         // It gives way at once where descriptors are short, and to nothing else.
         let (close, closed) = async_channel::bounded::<()>(1);
         let _parked =
@@ -342,27 +455,8 @@
         rest.or(closing).or(long_enough).await;
     }
 
-    /// The writes of an answer. A client that does not read it is not waited for for ever, but one that reads on,
-    /// however long the answer.
-    async fn send(&mut self, out: &[u8]) -> Result<(), End> {
-        let (began, accounts) = (Instant::now(), &self.clients.accounts);
-        let _memory = accounts.charge(Purpose::Writes, out.len().saturating_sub(PIECE));
-        let pace = Pace { still: self.clients.longest_deadline, least: LEAST_PACE };
-        let mut progress = Progress::new(pace, Duration::ZERO);
-        let mut left = out;
-        while !left.is_empty() {
-            let hurried = accounts.look(|ledger| ledger.calls_for(Relief::EndSlowest));
-            let late = late(began + progress.until(hurried));
-            let mut stream = &*self.stream;
-            let written = async { Ok(stream.write(left).await?) };
-            let count = written.or(late).await?;
-            if count == 0 {
-                return Err(End::Left);
-            }
-            left = &left[count..];
-            progress.moved(began.elapsed(), count as u64);
-        }
-        Ok(())
+    async fn send(&self, out: Vec<u8>) -> Result<(), End> {
+        send(Rc::clone(self.clients), Rc::clone(&self.stream), self.clients.answered(out)).await
     }
 
     /// Whether a session begins.
@@ -377,8 +471,9 @@
                 Opening::Encryption => out.push(b'N'),
                 Opening::Startup => pg::put_welcome(&mut out, Some(self.key)),
             }
-            self.send(&out).await?;
-            if out.len() > 1 {
+            let begins = out.len() > 1;
+            self.send(out).await?;
+            if begins {
                 return Ok(true);
             }
         }
@@ -391,147 +486,208 @@
     ) -> Result<T, End> {
         let mut whole_by = self.opening;
         loop {
-            if let Some((message, taken)) = decode(&self.unread)? {
-                self.unread.drain(..taken);
-                if self.unread.is_empty() {
-                    self.unread.shrink_to(PIECE);
-                    _ = self.memory.resize(beyond_a_piece(&self.unread));
-                }
+            if let Some((message, _)) = self.incoming.take(&decode)? {
                 return Ok(message);
             }
-            if !self.unread.is_empty() {
-                // Its first byte has come, so the rest is due: a trickle does not put that off.
-                let by = *whole_by.get_or_insert_with(|| Instant::now() + self.clients.patience);
-                read(&self.stream, &mut self.unread, &mut self.memory).or(late(by)).await?;
-                continue;
+            self.more(&mut whole_by).await?;
+        }
+    }
+
+    /// Reads on while nothing else is to be done.
+    async fn more(&mut self, whole_by: &mut Option<Instant>) -> Result<(), End> {
+        if !self.incoming.is_empty() {
+            // Its first byte has come, so the rest is due: a trickle does not put that off.
+            let by = *whole_by.get_or_insert_with(|| Instant::now() + self.clients.patience);
+            return async { Ok(self.incoming.read(&self.stream).await?) }.or(late(by)).await;
+        }
+        // While it drains, a router still takes what has arrived by now.
+        let draining = self.clients.draining.get();
+        let (close, closed) = (self.close.clone(), self.closed.clone());
+        let rank = if self.opening.is_some() { Rank::Unopened } else { Rank::Idle };
+        let _parked = self.clients.descriptors.park(self.slot.side, rank, move || _ = close.try_send(()));
+        let opened = async {
+            match self.opening {
+                Some(by) => late(by).await,
+                None => future::pending().await,
+            }
+        };
+        let closing = async {
+            if !draining {
+                _ = closed.recv().await;
+            }
+            Err(End::Closed)
+        };
+        async { Ok(self.incoming.read(&self.stream).await?) }.or(closing).or(opened).await
+    }
+
+    /// Reads on while something is in line, so that a client that leaves is noticed at once, and what it asks
+    /// ahead of its answers is known from when it came. Only so far: what lies beyond waits in the system, and of
+    /// that it is looked how much there is.
+    async fn ahead(&mut self) -> Result<(), End> {
+        if self.incoming.len() < READ_AHEAD && !self.incoming.is_full {
+            match self.incoming.read(&self.stream).await {
+                Ok(()) => return Ok(()),
+                // It is read on once something is taken out, if there is room by then.
+                Err(Stop::Exhausted(_)) => {}
+                Err(stop) => return Err(stop.into()),
             }
-            // While it drains, a router still takes what has arrived by now.
-            let draining = self.clients.draining.get();
-            let (close, closed) = (self.close.clone(), self.closed.clone());
-            let rank = if self.opening.is_some() { Rank::Unopened } else { Rank::Idle };
-            let _parked = self.clients.descriptors.park(self.slot.side, rank, move || _ = close.try_send(()));
-            let opened = async {
-                match self.opening {
-                    Some(by) => late(by).await,
-                    None => future::pending().await,
-                }
-            };
-            let closing = async {
-                if !draining {
-                    _ = closed.recv().await;
-                }
-                Err(End::Closed)
-            };
-            read(&self.stream, &mut self.unread, &mut self.memory).or(closing).or(opened).await?;
+        }
+        loop {
+            if has_hung_up(self.stream.get_ref()) {
+                return Err(End::Left);
+            }
+            self.incoming.note_waiting(self.stream.get_ref());
+            Timer::after(LOOK_FOR_LEAVE).await;
         }
     }
 
-    /// The life of an RPC: from its query to the answer, which is left in `out`. Whether it was one at all.
-    async fn query(&mut self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<bool, End> {
-        let clients = Rc::clone(self.clients);
-        let engine = &clients.engine;
+    /// The statement that a query is, with what it takes up. None where it is answered at once, which is left in
+    /// `out`.
+    ///
+    /// # Errors
+    /// It cannot be used, as `out` says.
+    fn statement(&self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<Option<(MethodId, Kept)>, Unusable> {
+        let (clients, engine) = (self.clients, &self.clients.engine);
         if text.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
             match engine.is_ready() {
                 true => pg::put_empty_query(out),
                 false => pg::put_error(out, false, "57P03", "no list of nodes has come yet", None),
             }
-            return Ok(true);
+            return Ok(None);
         }
-        let statement = match Statement::parse(text) {
-            Ok(statement) => statement,
-            Err(fault) => {
-                pg::put_error(out, false, fault.code(), &fault.to_string(), None);
-                return Ok(false);
-            }
+        let mut refuse = |code, message: &str| {
+            pg::put_error(out, false, code, message, None);
+            Unusable
         };
-        let Some((method, writes)) = engine.method(&statement.method) else {
-            let message = format!("the comment's c names no class: {:?}", statement.method);
-            pg::put_error(out, false, "22023", &message, None);
-            return Ok(false);
+        let statement = Statement::parse(text).map_err(|fault| refuse(fault.code(), &fault.to_string()))?;
+        let Some(method) = engine.method(&statement.method) else {
+            return Err(refuse("22023", &format!("the comment's c names no class: {:?}", statement.method)));
         };
-        if writes != statement.writes {
+        if engine.writes(method) != statement.writes {
             // Taken for a read, it could be repeated though it writes.
-            let message = format!("the statement is none of class {:?}", statement.method);
-            pg::put_error(out, false, "22023", &message, None);
-            return Ok(false);
+            return Err(refuse("22023", &format!("the statement is none of class {:?}", statement.method)));
         }
         let Some(open) = clients.open_ids.open(statement.id.clone()) else {
-            pg::put_error(out, false, "42710", "an RPC of this id is under way", None);
-            return Ok(false);
+            return Err(refuse("42710", "an RPC of this id is under way"));
         };
-        let memory = clients
-            .accounts
-            .hold(Purpose::Statements, statement.size())
-            .ok()
-            .filter(|_| engine.held() < clients.most_held);
-        let Some(memory) = memory else {
-            put_no_room(out, false, "this router holds all the RPCs it may");
-            return Ok(true);
+        let Ok(memory) = clients.accounts.hold(Purpose::Statements, statement.size()) else {
+            put_no_room(out, false, HOLDS_ALL);
+            return Ok(None);
         };
         let client = Presence::new(Rc::downgrade(&self.stream));
-        let statement = Rc::new(Kept { statement, client, _memory: memory, _open: open });
-        // What was cancelled before it came is over.
-        while self.cancelled.try_recv().is_ok() {}
-        let cancelled = self.cancelled.clone();
-        let (rpc, orders) = engine.rpc_arrived(method, &statement.statement);
+        Ok(Some((method, Kept { statement, client, _memory: memory, _open: open })))
+    }
+}
+
+/// A statement that cannot be used.
+struct Unusable;
+
+/// An RPC that is under way: one that is dropped without its final answer has no client any more.
+struct Owed {
+    engine: Rc<Engine>,
+    rpc: RpcId,
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        // Nothing comes of it where the RPC has had its final answer.
+        self.engine.client_left(self.rpc);
+    }
+}
+
+impl Clients {
+    /// The life of an RPC: from its turn, which comes at once where nothing ahead of it on its connection must end
+    /// first, to its answer. Its time runs since it arrived.
+    async fn rpc(
+        self: Rc<Self>,
+        method: MethodId,
+        kept: Rc<Kept>,
+        arrived: Instant,
+        written: Rc<RefCell<Written>>,
+    ) -> Answered {
+        let (mut out, engine, statement) = (Vec::new(), &self.engine, &kept.statement);
+        if !kept.client.is_there() {
+            // It is not begun. Its session is about to notice.
+            return future::pending().await;
+        }
+        if engine.held() >= self.most_held {
+            put_no_room(&mut out, false, HOLDS_ALL);
+            return self.ready(out);
+        }
+        let session = statement.session.map(|key| (statement.group, key));
+        let known = session.and_then(|session| written.borrow().last(session));
+        let Some((rpc, orders)) = engine.rpc_arrived(method, statement, arrived, known) else {
+            pg::put_error(&mut out, false, "53300", "its time was over before its turn: nothing ran", None);
+            return self.ready(out);
+        };
+        let _owed = Owed { engine: Rc::clone(engine), rpc };
         loop {
-            let order = async { Ok(orders.recv().await.ok()) };
-            let cancel = async {
-                match cancelled.recv().await {
-                    Ok(()) => Ok(None),
-                    Err(_) => future::pending().await,
-                }
-            };
-            let left = async { Err(self.left().await) };
-            // Whether the client is still there is looked at first: an order may have come at the same time.
-            match left.or(cancel).or(order).await {
-                Ok(Some(Order::Attempt(attempt))) => {
-                    clients.pool.attempt(Rc::clone(engine), attempt, Rc::clone(&statement));
+            match orders.recv().await {
+                Ok(Order::Attempt(attempt)) => {
+                    self.pool.attempt(Rc::clone(engine), attempt, Rc::clone(&kept));
+                    continue;
                 }
-                Ok(Some(Order::Answer(answer))) => {
-                    pg::put_answer(out, &answer);
-                    return Ok(true);
+                Ok(Order::Answer(answer, position)) => {
+                    if let Some((session, commit)) = session.zip(position).filter(|_| statement.writes) {
+                        written.borrow_mut().note(session, commit);
+                    }
+                    pg::put_answer(&mut out, &answer);
                 }
-                Ok(Some(Order::PushBack(retry_after))) => {
+                Ok(Order::PushBack(retry_after)) => {
                     let ms = retry_after.as_millis().to_string();
                     let detail = (!retry_after.is_zero()).then_some(ms.as_str());
-                    pg::put_error(out, false, "53300", "nothing ran, so trying again is harmless", detail);
-                    return Ok(true);
+                    pg::put_error(
+                        &mut out,
+                        false,
+                        "53300",
+                        "nothing ran, so trying again is harmless",
+                        detail,
+                    );
                 }
-                Ok(Some(Order::Abort(last))) => {
+                Ok(Order::Abort(last)) => {
                     let (code, message) = cause(last);
-                    pg::put_error(out, false, code, message, None);
-                    return Ok(true);
-                }
-                // The engine gives each RPC its final answer, so that there is none only for one that is cancelled.
-                Ok(None) => {
-                    engine.client_left(rpc);
-                    pg::put_error(out, false, "57014", "cancelled by its client; it may have run", None);
-                    return Ok(true);
-                }
-                Err(end) => {
-                    engine.client_left(rpc);
-                    return Err(end);
+                    pg::put_error(&mut out, false, code, message, None);
                 }
+                // The engine gives each RPC that it holds its final answer.
+                Err(_) => return future::pending().await,
             }
+            return self.ready(out);
         }
     }
 
-    /// Reads on while an RPC is out, so that a client that leaves is noticed at once.
-    async fn left(&mut self) -> End {
-        while self.unread.len() < READ_AHEAD {
-            match read(&self.stream, &mut self.unread, &mut self.memory).await {
-                Ok(()) => {}
-                // It is read on once the RPC is answered, if there is room by then.
-                Err(End::Exhausted(_)) => break,
-                Err(end) => return end,
-            }
-        }
-        while !has_hung_up(self.stream.get_ref()) {
-            Timer::after(LOOK_FOR_LEAVE).await;
+    /// With the end that each answer to a query has.
+    fn ready(&self, mut out: Vec<u8>) -> Answered {
+        pg::put_ready(&mut out);
+        self.answered(out)
+    }
+
+    fn answered(&self, out: Vec<u8>) -> Answered {
+        let memory = self.accounts.charge(Purpose::Writes, out.len().saturating_sub(PIECE));
+        Answered { out, memory }
+    }
+}
+
+/// The writes of an answer. A client that does not read it is not waited for for ever, but one that reads on,
+/// however long the answer.
+async fn send(clients: Rc<Clients>, stream: Rc<Async<TcpStream>>, answered: Answered) -> Result<(), End> {
+    let (began, accounts) = (Instant::now(), &clients.accounts);
+    let pace = Pace { still: clients.longest_deadline, least: LEAST_PACE };
+    let mut progress = Progress::new(pace, Duration::ZERO);
+    let Answered { out, memory: _memory } = answered;
+    let mut left = &out[..];
+    while !left.is_empty() {
+        let hurried = accounts.look(|ledger| ledger.calls_for(Relief::EndSlowest));
+        let late = late(began + progress.until(hurried));
+        let mut stream = &*stream;
+        let written = async { Ok(stream.write(left).await?) };
+        let count = written.or(late).await?;
+        if count == 0 {
+            return Err(End::Left);
         }
-        End::Left
+        left = &left[count..];
+        progress.moved(began.elapsed(), count as u64);
     }
+    Ok(())
 }
 
 /// The SQLSTATE of an abort, and its words, by how the last attempt ended.
@@ -549,27 +705,8 @@
     Err(End::Late)
 }
 
-/// What counts against the budget: a piece for each session is bounded by the count of sockets.
-fn beyond_a_piece(unread: &Vec<u8>) -> usize {
-    unread.capacity().saturating_sub(PIECE)
-}
-
 /// For a client that there is no room for: nothing has run, and soon there may be some.
 fn put_no_room(out: &mut Vec<u8>, fatal: bool, message: &str) {
     let wait = quillpoint::HOLD.as_millis().to_string();
     pg::put_error(out, fatal, "53300", message, Some(&wait));
 }
-
-async fn read(stream: &Async<TcpStream>, unread: &mut Vec<u8>, memory: &mut Held) -> Result<(), End> {
-    let mut piece = [0; PIECE];
-    let mut stream = stream;
-    match stream.read(&mut piece).await? {
-        0 => Err(End::Left),
-        count => {
-            // No more than has come: many clients may send long messages at once.
-            unread.reserve_exact(count);
-            unread.extend(&piece[..count]);
-            Ok(memory.resize(beyond_a_piece(unread))?)
-        }
-    }
-}
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::deployment::Deployment;
+use crate::line::Reach;
 use crate::pg::Answer;
 use crate::statement::Statement;
 
@@ -45,8 +46,8 @@
 /// What an RPC's task is told.
 pub enum Order {
     Attempt(Attempt),
-    /// Final answers.
-    Answer(Answer),
+    /// Final answers. A value comes with the position that its node told, of a write its commit.
+    Answer(Answer, Option<Duration>),
     PushBack(Duration),
     /// With how its last attempt ended, if one has.
     Abort(Option<Outcome>),
@@ -191,6 +192,8 @@
     deadline: Duration,
     has_sessions: bool,
     writes: bool,
+    /// Its reads must see all that was committed before them.
+    fresh: bool,
 }
 
 /// Whatever the module needs is told by one method for each thing that can happen.
@@ -224,7 +227,8 @@
             let deadline = values.span(&format!("methods.{place}.deadline"));
             let deadline = deadline.unwrap_or(deployment.longest_deadline);
             let writes = need == "write";
-            Known { name: name.clone(), deadline, has_sessions: writes || need == "session", writes }
+            let fresh = !writes && !["session", "bounded", "any"].contains(&need);
+            Known { name: name.clone(), deadline, has_sessions: writes || need == "session", writes, fresh }
         };
         let methods = deployment.methods.iter().enumerate().map(known).collect();
         let desk = Rc::new(Desk {
@@ -262,7 +266,7 @@
         }
         if let Some(answer) = heard.answer.filter(|_| outcome == Outcome::Ok) {
             // The first ok goes to the client by itself.
-            self.desk.finish(rpc, |_| Order::Answer(answer));
+            self.desk.finish(rpc, |_| Order::Answer(answer, heard.position));
         }
         let finished = match self.desk.live.borrow_mut().get_mut(&rpc) {
             Some(live) => {
@@ -349,10 +353,18 @@
         self.desk.live.borrow().len()
     }
 
-    /// The method of this name, and whether it writes.
-    pub fn method(&self, name: &str) -> Option<(MethodId, bool)> {
-        let place = self.methods.iter().position(|known| known.name == name)?;
-        Some((MethodId(place), self.methods[place].writes))
+    pub fn method(&self, name: &str) -> Option<MethodId> {
+        self.methods.iter().position(|known| known.name == name).map(MethodId)
+    }
+
+    pub fn writes(&self, method: MethodId) -> bool {
+        self.methods[method.0].writes
+    }
+
+    /// What a statement of this method reaches.
+    pub fn reach(&self, method: MethodId, statement: &Statement) -> Reach {
+        let Known { writes, fresh, .. } = self.methods[method.0];
+        Reach { group: statement.group, key: statement.session, writes, fresh }
     }
 
     /// The shortest deadline of a method, and the longest.
@@ -370,16 +382,27 @@
         self.tell(|router, now| router.ends_by(now, end));
     }
 
-    /// The RPC's id, and where its orders arrive.
-    pub fn rpc_arrived(&self, method: MethodId, statement: &Statement) -> (RpcId, Receiver<Order>) {
+    /// The RPC's id, and where its orders arrive. None where its time is over, which runs from when its last byte
+    /// came. `written` is the last commit that its connection knows of for its session.
+    pub fn rpc_arrived(
+        &self,
+        method: MethodId,
+        statement: &Statement,
+        arrived: Instant,
+        written: Option<Duration>,
+    ) -> Option<(RpcId, Receiver<Order>)> {
+        let now = self.clock.now();
+        let known = &self.methods[method.0];
+        let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
+        let wait = statement.wait.min(known.deadline).saturating_sub(arrived.elapsed());
+        let remaining = wait.min(left);
+        if wait.is_zero() {
+            return None;
+        }
         let (mailbox, orders) = async_channel::unbounded();
         // Counted here: a client's own id could come twice, and must not mix up two RPCs.
         let id = RpcId(self.next_rpc.get());
         self.next_rpc.set(id.0 + 1);
-        let now = self.clock.now();
-        let known = &self.methods[method.0];
-        let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
-        let remaining = statement.wait.min(known.deadline).min(left);
         let live = Live { mailbox, deadline: now + remaining, attempts: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
         let rpc = Rpc {
@@ -389,11 +412,11 @@
             group: statement.group,
             remaining,
             work: None,
-            since_write: statement.after.map(|at| now.saturating_sub(at)),
+            since_write: statement.after.max(written).map(|at| now.saturating_sub(at)),
             retried: statement.retried,
         };
         self.tell(|router, now| router.rpc_arrived(now, rpc));
-        (id, orders)
+        Some((id, orders))
     }
 
     pub fn client_left(&self, rpc: RpcId) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod drain;
 pub mod engine;
 pub mod events;
+pub mod incoming;
+pub mod line;
 pub mod list;
 pub mod open_ids;
 pub mod part;
--- a/crates/router/src/presence.rs
+++ b/crates/router/src/presence.rs
@@ -29,6 +29,11 @@
     poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(ends)
 }
 
+/// How many bytes have come and wait to be read. What cannot be asked is taken to be none.
+pub fn bytes_waiting(stream: &TcpStream) -> u64 {
+    rustix::io::ioctl_fionread(stream).unwrap_or_default()
+}
+
 /// Whether a connection waits to be accepted. Does not wait.
 pub fn has_waiting(listener: &TcpListener) -> bool {
     let mut asked = [PollFd::new(listener, PollFlags::IN)];
