An RPC's time runs from its arrival; statements of a connection run side by side

Ruled out: answers that were late by the turn's clock (none), drains, resets. Those whose time was over at their turn were sent on all the same, to up to eight nodes, each of which said that the request was over.

Now each byte's time of arrival is kept, also of what waits unread in the system (to 25 ms). An RPC's time runs from its last byte; over at its turn, it is pushed back and never sent. Up to 16 statements of a connection are in line; reads pass reads and writes of other sessions; a session's reads and writes keep their order; so do the writes of a group, since only one literal of a statement is known here, and a client may count on the first; answers leave in order. A read behind its session's write carries that commit as its mark, also where clients carry marks. A client that has gone ends all. A session mark was told some microseconds too late, past its commit: a node that had just reached it was refused.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -606,8 +606,8 @@
         written: Rc<RefCell<Written>>,
     ) -> Answered {
         let (mut out, engine, statement) = (Vec::new(), &self.engine, &kept.statement);
-        if !kept.client.is_there() {
-            // It is not begun. Its session is about to notice.
+        if arrived.elapsed() >= LOOK_FOR_LEAVE && !kept.client.is_there() {
+            // It is not begun. Its session has not looked since, and is about to.
             return future::pending().await;
         }
         if engine.held() >= self.most_held {
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -405,17 +405,21 @@
         self.next_rpc.set(id.0 + 1);
         let live = Live { mailbox, deadline: now + remaining, attempts: 0, last: None };
         self.desk.live.borrow_mut().insert(id, live);
-        let rpc = Rpc {
-            id,
-            method,
-            session: statement.session.filter(|_| known.has_sessions),
-            group: statement.group,
-            remaining,
-            work: None,
-            since_write: statement.after.max(written).map(|at| now.saturating_sub(at)),
-            retried: statement.retried,
-        };
-        self.tell(|router, now| router.rpc_arrived(now, rpc));
+        let after = statement.after.max(written);
+        // By the clock that the module reads too: later by a little, the mark would lie past the commit.
+        self.tell(|router, now| {
+            let rpc = Rpc {
+                id,
+                method,
+                session: statement.session.filter(|_| known.has_sessions),
+                group: statement.group,
+                remaining,
+                work: None,
+                since_write: after.map(|at| now.saturating_sub(at)),
+                retried: statement.retried,
+            };
+            router.rpc_arrived(now, rpc);
+        });
         Some((id, orders))
     }
 
--- /dev/null
+++ b/crates/router/tests/pipeline.rs
@@ -0,0 +1,259 @@
+//! Pipelined statements: a client that sends on before it has its answers. Nodes hold their answers back until an
+//! event shows that what is to cross has come.
+
+mod standin;
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use quillpoint_router::pg;
+use standin::{Client, Discovery, Does, Node, Reply, Running, VALUE};
+use standin::{configuration, statement, targets};
+
+/// So many statements of a connection are in line at the most, and so many bytes behind them are read.
+const SIDE_BY_SIDE: usize = 16;
+const READ_AHEAD: usize = 16 * 1024;
+
+fn ok() -> Reply {
+    Reply::Value(VALUE.to_vec())
+}
+
+fn nothing_ran() -> Reply {
+    Reply::Error("53300".to_string(), None)
+}
+
+/// A primary, replicas, and a router that knows them.
+fn group(replicas: usize, change: &[(&str, &str)]) -> (Node, Vec<Node>, Running, Discovery) {
+    let primary = Node::start(true);
+    let replicas: Vec<Node> = (0..replicas).map(|_| Node::start(false)).collect();
+    let mut all = vec![(&primary, "primary", "in_service")];
+    all.extend(replicas.iter().map(|node| (node, "replica", "in_service")));
+    let list = targets(&all);
+    let discovery = Discovery::start(list.clone());
+    let text = change.iter().fold(configuration(&discovery, &list, 200), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replace(from, to)
+    });
+    let router = Running::start(&text);
+    (primary, replicas, router, discovery)
+}
+
+/// A statement of a session of its own.
+fn of(key: &str, class: &str, wait_ms: u64) -> String {
+    statement(class, wait_ms).replace("'7f3a'", &format!("'{key}'"))
+}
+
+fn id(text: &str) -> &str {
+    text.split(['=', ',']).nth(1).unwrap()
+}
+
+fn echo(text: &str) -> Reply {
+    Reply::Value(id(text).as_bytes().to_vec())
+}
+
+/// What a node is told that its answer is waited for.
+fn told_wait(text: &str) -> Duration {
+    let number = text.split(",d=").nth(1).unwrap().split(',').next().unwrap();
+    Duration::from_millis(number.parse().unwrap())
+}
+
+/// In one write, so that what is behind has come when what is ahead of it is sent on.
+fn send_all(client: &mut Client, texts: &[String]) {
+    let bytes: Vec<u8> = texts.iter().flat_map(|text| pg::query(text.as_bytes())).collect();
+    client.send(&bytes);
+}
+
+fn count(nodes: &[Node]) -> usize {
+    nodes.iter().map(|node| node.queries().len()).sum()
+}
+
+/// Until so many RPCs have come to the nodes, all told.
+fn await_all(nodes: &[Node], least: usize) {
+    let began = Instant::now();
+    while count(nodes) < least {
+        assert!(began.elapsed() < Duration::from_secs(30), "{} of {least} came", count(nodes));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// RPCs of another client come and go: whatever a router does at once, it has done by then.
+fn others_go_on(router: &Running, class: &str) {
+    let mut other = router.client();
+    assert!((0..10).all(|_| !matches!(other.rpc(class, 9000), Reply::Gone)));
+}
+
+#[test]
+fn the_time_of_an_rpc_that_waits_for_another_runs_since_it_came() {
+    let (primary, _, router, _discovery) = group(1, &[]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    send_all(&mut client, &[of("a", "enter", 9000), of("b", "enter", 9000)]);
+    primary.await_queries(1);
+    let held = Duration::from_millis(600);
+    std::thread::sleep(held);
+    primary.set(Does::Answers);
+    assert_eq!((client.reply(), client.reply()), (ok(), ok()));
+    let second = told_wait(&primary.queries()[1]);
+    assert!(second <= Duration::from_secs(9) - held, "{second:?}");
+}
+
+#[test]
+fn it_runs_for_what_waits_unread_in_the_system_too() {
+    let (primary, _, router, _discovery) = group(1, &[]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    let all: Vec<String> = (0..300).map(|_| of("a", "enter", 9000)).collect();
+    let bytes: usize = all[SIDE_BY_SIDE..].iter().map(|text| text.len() + 6).sum();
+    assert!(bytes > 2 * READ_AHEAD, "the last ones are not read ahead");
+    send_all(&mut client, &all);
+    primary.await_queries(1);
+    // It looks each 25 ms how much is there. A machine that is busy for longer than the half of this is no excuse.
+    let held = Duration::from_secs(2);
+    std::thread::sleep(held);
+    primary.set(Does::Answers);
+    assert!(all.iter().all(|_| client.reply() == ok()));
+    let last = told_wait(&primary.queries()[299]);
+    assert!(last <= Duration::from_secs(9) - held / 2, "{last:?}");
+}
+
+#[test]
+fn an_rpc_whose_time_is_over_is_answered_at_its_turn_and_never_sent() {
+    let (primary, _, router, _discovery) = group(1, &[]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    send_all(&mut client, &[of("a", "enter", 9000), of("b", "enter", 150), of("c", "enter", 9000)]);
+    primary.await_queries(1);
+    std::thread::sleep(Duration::from_millis(300));
+    primary.set(Does::Answers);
+    assert_eq!((client.reply(), client.reply(), client.reply()), (ok(), nothing_ran(), ok()));
+    assert_eq!(primary.queries().len(), 2);
+}
+
+#[test]
+fn statements_that_may_run_side_by_side_do_and_answers_stay_in_order() {
+    let (primary, replicas, router, _discovery) = group(1, &[]);
+    [&primary, &replicas[0]].iter().for_each(|node| node.set(Does::Waits));
+    let mut client = router.client();
+    let all = [
+        of("a", "enter", 9000),
+        of("b", "look", 9000),
+        of("c", "recent", 9000),
+        "not a statement".to_string(),
+        String::new(),
+        of("d", "look", 9000),
+    ];
+    send_all(&mut client, &all);
+    // The reads pass the write, and each other.
+    primary.await_queries(1);
+    replicas[0].await_queries(3);
+    replicas[0].set(Does::Echoes);
+    others_go_on(&router, "look");
+    primary.set(Does::Echoes);
+    assert_eq!(client.reply(), echo(&all[0]), "the slow one first");
+    assert_eq!((client.reply(), client.reply()), (echo(&all[1]), echo(&all[2])));
+    assert_eq!(client.reply(), Reply::Error("42601".to_string(), None), "an error has its place too");
+    assert_eq!((client.reply(), client.reply()), (Reply::Empty, echo(&all[5])));
+}
+
+#[test]
+fn a_read_behind_its_own_sessions_write_waits_for_it_and_a_write_behind_a_write_too() {
+    let (primary, replicas, router, _discovery) = group(1, &[]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    let all = [of("a", "enter", 9000), of("a", "look", 9000), of("b", "look", 9000), of("b", "enter", 9000)];
+    send_all(&mut client, &all);
+    primary.await_queries(1);
+    replicas[0].await_queries(1);
+    others_go_on(&router, "look");
+    let came = |node: &Node, text: &str| node.queries().iter().any(|query| id(query) == id(text));
+    assert!(came(&replicas[0], &all[2]), "of another session");
+    assert!(!came(&replicas[0], &all[1]) && !came(&primary, &all[1]), "it could miss the write");
+    assert!(!came(&primary, &all[3]), "writes keep their order");
+    primary.set(Does::Answers);
+    assert!(all.iter().all(|_| client.reply() == ok()));
+    assert!(came(&replicas[0], &all[1]) && came(&primary, &all[3]));
+}
+
+#[test]
+fn a_read_that_was_sent_before_its_session_knew_of_its_commit_sees_it_nonetheless() {
+    // Clients carry the marks; without probes a replica is known by its answers alone.
+    let (primary, replicas, router, _discovery) = group(
+        1,
+        &[
+            (r#""update","recent""#, r#""update","own_writes""#),
+            (r#""WriteMarks":"router""#, r#""WriteMarks":"client""#),
+            (r#""Probes":true"#, r#""Probes":false"#),
+        ],
+    );
+    // Reads earn the primary's share, of which one is a tenth.
+    let mut other = router.client();
+    assert!((0..20).all(|_| other.rpc("look", 9000) == ok()));
+    std::thread::sleep(Duration::from_millis(5));
+    let mut client = router.client();
+    let all = [of("a", "enter", 9000), of("a", "recent", 9000)];
+    send_all(&mut client, &all);
+    assert_eq!((client.reply(), client.reply()), (ok(), ok()));
+    let came = |node: &Node| node.queries().iter().filter(|query| id(query) == id(&all[1])).count();
+    assert_eq!((came(&primary), came(&replicas[0])), (1, 0), "the replica had not shown the commit");
+}
+
+#[test]
+fn with_its_client_what_is_under_way_ends_and_what_waits_is_not_begun() {
+    let (primary, replicas, router, _discovery) = group(1, &[]);
+    [&primary, &replicas[0]].iter().for_each(|node| node.set(Does::Waits));
+    let mut client = router.client();
+    let all = [of("a", "enter", 9000), of("b", "look", 9000), of("c", "enter", 9000), of("a", "look", 9000)];
+    let sent = Instant::now();
+    send_all(&mut client, &all);
+    primary.await_queries(1);
+    replicas[0].await_queries(1);
+    assert!(sent.elapsed() < Duration::from_secs(9), "the first one's time is over, so it is not under way");
+    client.leave();
+    [&primary, &replicas[0]].iter().for_each(|node| node.set(Does::Answers));
+    // Under the ids of those that waited: nothing of them is under way.
+    let mut other = router.client();
+    assert_eq!((other.try_ask(&all[2]), other.try_ask(&all[3])), (ok(), ok()));
+    others_go_on(&router, "enter");
+    let came = |text: &str| {
+        let queries = [primary.queries(), replicas[0].queries()].concat();
+        queries.iter().filter(|query| id(query) == id(text)).count()
+    };
+    assert!(
+        all.iter().all(|text| came(text) == 1),
+        "each once: two before it left, two for the other client"
+    );
+}
+
+#[test]
+fn what_is_read_ahead_is_bounded_by_statements_and_by_bytes() {
+    let (primary, replicas, mut router, _discovery) = group(3, &[("9000.0", "2500.0")]);
+    replicas.iter().for_each(|node| node.set(Does::Waits));
+    let mut client = router.client();
+    let all: Vec<String> = (0..400).map(|place| of(&format!("k{place}"), "look", 9000)).collect();
+    let bytes: usize = all.iter().map(|text| text.len() + 6).sum();
+    assert!(bytes > 2 * READ_AHEAD);
+    send_all(&mut client, &all);
+    await_all(&replicas, SIDE_BY_SIDE);
+    others_go_on(&router, "enter");
+    assert_eq!(count(&replicas), SIDE_BY_SIDE);
+    replicas.iter().for_each(|node| node.set(Does::Echoes));
+    assert!(all.iter().all(|text| client.reply() == echo(text)), "and yet all are answered, in order");
+    // Without an end, and nothing of it is answered.
+    replicas.iter().for_each(|node| node.set(Does::Waits));
+    let mut stream = client.stream.try_clone().unwrap();
+    let floods = std::thread::spawn(move || while stream.write_all(&pg::query(b"/* ")).is_ok() {});
+    others_go_on(&router, "enter");
+    _ = client.stream.shutdown(std::net::Shutdown::Both);
+    floods.join().unwrap();
+    drop((client, primary));
+    router.signal("-TERM");
+    let line = router.line("buffers_coming_high");
+    let high = |name: &str| {
+        let number = line.split(&format!("{name}=")).nth(1).unwrap().split(' ').next().unwrap();
+        number.parse::<usize>().unwrap()
+    };
+    assert!(high("buffers_coming_high") <= READ_AHEAD + 4096, "{line}");
+    let longest = all.iter().map(|text| text.len()).max().unwrap();
+    assert!(high("buffers_statements_high") <= (SIDE_BY_SIDE + 1) * longest.max(200), "{line}");
+    assert!(router.ended().success());
+}
--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -396,10 +396,16 @@
 
     /// Until a line with this in it has been logged since the start.
     pub fn await_line(&self, part: &str) {
+        self.line(part);
+    }
+
+    /// The first line with this in it that has been logged since the start, once there is one.
+    pub fn line(&self, part: &str) -> String {
         let lines = self.log.0.lock().unwrap();
         let missing = |lines: &mut Vec<String>| !lines.iter().any(|line| line.contains(part));
         let (lines, wait) = self.log.1.wait_timeout_while(lines, NEVER, missing).unwrap();
         assert!(!wait.timed_out(), "no line has {part:?}: {lines:?}");
+        lines.iter().find(|line| line.contains(part)).unwrap().clone()
     }
 
     /// Nodes as `(node, role)`, a list that names them, and a router that knows it.
