--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -207,7 +207,7 @@
     send_all(&mut client, &all);
     primary.await_queries(1);
     replicas[0].await_queries(1);
-    assert!(sent.elapsed() < Duration::from_secs(9), "the first one's time is over, so it is not under way");
+    assert!(sent.elapsed() < Duration::from_secs(5), "the first one may have ended by its time");
     client.leave();
     [&primary, &replicas[0]].iter().for_each(|node| node.set(Does::Answers));
     // Under the ids of those that waited: nothing of them is under way.
