--- a/crates/feed/src/book.rs
+++ b/crates/feed/src/book.rs
@@ -34,9 +34,6 @@
 const TELLS: u8 = 3;
 const LOG_MOST: usize = 256;
 
-/// What the copy says of a database.
-type Told = (Option<bool>, Option<Duration>, Standing);
-
 struct Known {
     listed: Duration,
     /// Whether it has left the list, and is to be taken out of the copy.
@@ -50,11 +47,17 @@
     /// Several have failed to reach it since it last answered.
     failed: bool,
     /// `None` until it is entered in the copy.
-    told: Option<Told>,
+    told: Option<Entry>,
     /// Since when it has been better than the copy says, and the worst class of lag since then.
     better: Option<(Duration, LagClass)>,
 }
 
+impl Known {
+    fn stands_as_seen(&self) -> bool {
+        self.told.is_some_and(|entry| matches!(entry.standing, Standing::Seen(_)))
+    }
+}
+
 #[derive(Default)]
 struct Part {
     revision: Revision,
@@ -137,13 +140,10 @@
     pub fn revise(&mut self, now: Duration, room: usize, told: bool) -> bool {
         let (silent, late) = (self.period * SILENT_PERIODS, self.period.mul_f64(LATE_PERIODS));
         // The few that are later than all others are told by name; where many are, that is how things are here.
-        let is_late = |known: &&Known| {
-            known.told.is_some_and(|(_, _, standing)| matches!(standing, Standing::Seen(_)))
-                && known.at.is_some_and(|at| at + late < now)
-        };
+        let is_late = |known: &&Known| known.stands_as_seen() && known.at.is_some_and(|at| at + late < now);
         let lates = self.parts.iter().flat_map(|part| part.nodes.values()).filter(is_late).count();
         let cut = if lates <= LATE_MOST { late } else { silent };
-        let mut due: Vec<(Rank, usize, SocketAddr, Option<Told>)> = Vec::new();
+        let mut due: Vec<(Rank, usize, SocketAddr, Option<Entry>)> = Vec::new();
         let mut fresh = [false; PARTS];
         for step in 0..PARTS {
             let place = (self.turn + step) % PARTS;
@@ -187,10 +187,10 @@
             if fresh {
                 part.revision = Revision(1);
             }
-            part.silent = part.nodes.values().any(|known| {
-                known.told.is_some_and(|(_, _, standing)| matches!(standing, Standing::Seen(_)))
-                    && known.at.is_none_or(|at| at + silent < now)
-            });
+            part.silent = part
+                .nodes
+                .values()
+                .any(|known| known.stands_as_seen() && known.at.is_none_or(|at| at + silent < now));
         }
         while self.log.len() > LOG_MOST {
             self.log.pop_front();
@@ -229,7 +229,7 @@
                 continue;
             }
             for known in part.nodes.values() {
-                if let Some((_, _, Standing::Seen(LagClass(class)))) = known.told
+                if let Some(Entry { standing: Standing::Seen(LagClass(class)), .. }) = known.told
                     && let (Some(at), Some(position)) = (known.at, known.position)
                 {
                     oldest = oldest.min(at);
@@ -257,21 +257,31 @@
         if *revision == Revision::default() {
             return Vec::new();
         }
-        let mut chunks: Vec<Vec<Entry>> = vec![Vec::new()];
-        let mut left = size::ROOM;
+        let mut alike: BTreeMap<Entry, Vec<SocketAddr>> = BTreeMap::new();
         for (node, known) in nodes {
-            let Some((primary, started, standing)) = known.told else { continue };
-            let entry = Entry { node: *node, primary, started, standing };
-            let bytes = size::entry(&entry);
-            if bytes > left || chunks.last().is_some_and(|chunk| chunk.len() >= ENTRIES_ALONG) {
-                chunks.push(Vec::new());
-                left = size::ROOM;
+            known.told.into_iter().for_each(|entry| alike.entry(entry).or_default().push(*node));
+        }
+        let mut chunks: Vec<Vec<(Entry, Vec<SocketAddr>)>> = vec![Vec::new()];
+        let (mut left, mut count) = (size::ROOM, 0);
+        for (entry, nodes) in alike {
+            let mut begun = false;
+            for node in nodes {
+                let head = size::entry(&entry) + 2;
+                let bytes = size::address(node) + if begun { 0 } else { head };
+                if bytes > left || count >= ENTRIES_ALONG {
+                    chunks.push(Vec::new());
+                    (left, count, begun) = (size::ROOM - head, 0, false);
+                }
+                let Some(chunk) = chunks.last_mut() else { continue };
+                if !std::mem::replace(&mut begun, true) {
+                    chunk.push((entry, Vec::new()));
+                }
+                (left, count) = (left.saturating_sub(bytes), count + 1);
+                chunk.last_mut().into_iter().for_each(|(_, nodes)| nodes.push(node));
             }
-            left -= bytes;
-            chunks.last_mut().into_iter().for_each(|chunk| chunk.push(entry));
         }
         let (revision, of) = (*revision, chunks.len() as u16);
-        (0..).zip(chunks).map(|(place, entries)| Chunk { part, revision, place, of, entries }).collect()
+        (0..).zip(chunks).map(|(place, alike)| Chunk { part, revision, place, of, alike }).collect()
     }
 
     /// How many databases are listed.
@@ -285,7 +295,12 @@
 }
 
 /// What the copy should say of a database now, where it says something else: the change, and how much it matters.
-fn wanted(known: &mut Known, now: Duration, cut: Duration, period: Duration) -> Option<(Rank, Option<Told>)> {
+fn wanted(
+    known: &mut Known,
+    now: Duration,
+    cut: Duration,
+    period: Duration,
+) -> Option<(Rank, Option<Entry>)> {
     if known.gone {
         return Some((Rank::ByName, None));
     }
@@ -300,11 +315,13 @@
             _ => Standing::Unseen,
         }
     };
-    let Some((was_primary, was_started, stood)) = known.told else {
+    let Some(was) = known.told else {
         // One that nobody has heard of is given time to answer, so that a start is no burst of changes.
         let heard = known.at.is_some() || known.failed || known.listed + period * UNHEARD_PERIODS <= now;
-        return heard.then_some((Rank::ByName, Some((known.primary, started, stands))));
+        let entry = Entry { primary: known.primary, started, standing: stands };
+        return heard.then_some((Rank::ByName, Some(entry)));
     };
+    let stood = was.standing;
     // Worse holds at once, better only after a while: one that goes to and fro is told once.
     let (standing, rank) = match (stood, stands) {
         (Standing::Down, Standing::Down) | (Standing::Unseen, Standing::Unseen) => (stood, Rank::Better),
@@ -324,10 +341,10 @@
     if matches!(stands, Standing::Unseen) || stood == stands {
         known.better = None;
     }
-    let by_name = known.primary != was_primary || (started != was_started && started.is_some());
+    let by_name = known.primary != was.primary || (started != was.started && started.is_some());
     let rank = if by_name { Rank::ByName } else { rank };
-    let told = (known.primary, started, standing);
-    (told != (was_primary, was_started, stood)).then_some((rank, Some(told)))
+    let entry = Entry { primary: known.primary, started, standing };
+    (entry != was).then_some((rank, Some(entry)))
 }
 
 /// The first class reaches as far behind as a period; the last holds all that is beyond the others.
--- a/crates/feed/src/copy.rs
+++ b/crates/feed/src/copy.rs
@@ -14,7 +14,7 @@
 const MOST_IN_PART: usize = 2048;
 
 /// What a digest says of all that stands as seen.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Cover {
     pub number: DigestNo,
     /// When each had been seen last, at the earliest, on the router's clock.
@@ -22,27 +22,34 @@
     pub watermarks: [Option<Duration>; CLASSES],
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Kept {
-    primary: Option<bool>,
-    started: Option<Duration>,
-    standing: Standing,
+    entry: Entry,
     /// The last digest that its entry is not from: only a later one covers it.
     after: Option<DigestNo>,
     /// What was known of it before, and of one that is down when that was told.
     before: Option<(Duration, Option<Duration>)>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Part {
     revision: Revision,
     nodes: BTreeMap<SocketAddr, Kept>,
     cover: Option<Cover>,
     /// It was taken over whole, and no digest has covered it since.
     fresh: bool,
-    /// The chunks that have come of a copy, by their place.
-    coming: Option<(Revision, u16, BTreeMap<u16, Vec<Entry>>)>,
+    coming: Option<Coming>,
 }
 
+/// The chunks that have come of a copy, by their place, and how many there are.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Coming {
+    revision: Revision,
+    of: u16,
+    chunks: BTreeMap<u16, Vec<(SocketAddr, Entry)>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Copy {
     parts: Vec<Part>,
 }
@@ -55,21 +62,15 @@
 
 impl Part {
     /// By one entry as it stands from now on.
-    fn set(&mut self, entry: &Entry) {
-        let before = self.nodes.get(&entry.node).and_then(|kept| self.dated(kept));
-        let kept = Kept {
-            primary: entry.primary,
-            started: entry.started,
-            standing: entry.standing,
-            after: self.cover.map(|cover| cover.number),
-            before,
-        };
-        self.nodes.insert(entry.node, kept);
+    fn set(&mut self, node: SocketAddr, entry: Entry) {
+        let before = self.nodes.get(&node).and_then(|kept| self.dated(kept));
+        let after = self.cover.map(|cover| cover.number);
+        self.nodes.insert(node, Kept { entry, after, before });
     }
 
     /// When a database had been seen last at the earliest, and the position that it had shown by then.
     fn dated(&self, kept: &Kept) -> Option<(Duration, Option<Duration>)> {
-        match (kept.standing, self.cover) {
+        match (kept.entry.standing, self.cover) {
             (Standing::Seen(LagClass(class)), Some(cover)) if kept.after < Some(cover.number) => {
                 Some((cover.at, cover.watermarks.get(usize::from(class)).copied().flatten()))
             }
@@ -79,9 +80,10 @@
 
     fn word(&self, node: SocketAddr, kept: &Kept) -> Option<Word> {
         let (at, position) = self.dated(kept)?;
-        let failed = kept.standing == Standing::Down;
+        let Entry { primary, started, standing } = kept.entry;
+        let failed = standing == Standing::Down;
         let position = position.filter(|_| !failed);
-        Some(Word { node, at, position, primary: kept.primary, started: kept.started, failed })
+        Some(Word { node, at, position, primary, started, failed })
     }
 }
 
@@ -97,25 +99,24 @@
                 continue;
             }
             part.revision = revision;
-            let Some((primary, started, standing)) = entry else {
+            let Some(entry) = entry else {
                 part.nodes.remove(&node);
                 continue;
             };
-            let was = part.nodes.get(&node).map(|kept| (kept.primary, kept.started, kept.standing));
+            let was = part.nodes.get(&node).map(|kept| kept.entry);
             if part.nodes.len() >= MOST_IN_PART && was.is_none() {
                 continue;
             }
-            part.set(&Entry { node, primary, started, standing });
+            part.set(node, entry);
             if let Some(kept) = part.nodes.get_mut(&node)
-                && standing == Standing::Down
+                && entry.standing == Standing::Down
             {
                 kept.before = Some((at, None));
             }
-            let down = |standing| standing == Standing::Down;
-            let same = was.is_some_and(|(was_primary, was_started, stood)| {
-                was_primary == primary
-                    && down(stood) == down(standing)
-                    && (started.is_none() || started == was_started)
+            let down = |entry: Entry| entry.standing == Standing::Down;
+            let same = was.is_some_and(|was| {
+                let no_start = entry.started.is_none() || entry.started == was.started;
+                was.primary == entry.primary && down(was) == down(entry) && no_start
             });
             if !same {
                 named.push(node);
@@ -135,11 +136,12 @@
             part.cover = Some(cover);
             if std::mem::take(&mut part.fresh) {
                 for (node, kept) in &mut part.nodes {
-                    if kept.standing == Standing::Down && kept.before.is_none() {
+                    let Entry { primary, started, standing } = kept.entry;
+                    let down = standing == Standing::Down;
+                    if down && kept.before.is_none() {
                         kept.before = Some((cover.at, None));
                     }
-                    if kept.standing == Standing::Down || kept.primary == Some(true) || kept.started.is_some()
-                    {
+                    if down || primary == Some(true) || started.is_some() {
                         named.push(*node);
                     }
                 }
@@ -151,18 +153,22 @@
     /// Keeps a chunk until all of its revision have come, and then takes the part over. One that is for another part,
     /// of an earlier revision or not as the others are changes nothing.
     pub fn chunk(&mut self, chunk: Chunk) {
-        let Chunk { part: id, revision, place, of, entries } = chunk;
+        let Chunk { part: id, revision, place, of, alike } = chunk;
         let Some(part) = self.parts.get_mut(usize::from(id.0)) else { return };
-        let own = entries.iter().all(|entry| PartId::of(entry.node) == id);
+        let own = alike.iter().flat_map(|(_, nodes)| nodes).all(|node| PartId::of(*node) == id);
         if !own || place >= of || usize::from(of) > MOST_IN_PART || revision <= part.revision {
             return;
         }
-        match &mut part.coming {
-            Some((coming, chunks, _)) if (*coming, *chunks) == (revision, of) => {}
-            Some((coming, _, _)) if *coming > revision => return,
-            other => *other = Some((revision, of, BTreeMap::new())),
+        match &part.coming {
+            Some(coming) if (coming.revision, coming.of) == (revision, of) => {}
+            Some(coming) if coming.revision > revision => return,
+            _ => part.coming = Some(Coming { revision, of, chunks: BTreeMap::new() }),
         }
-        let Some((_, _, chunks)) = &mut part.coming else { return };
+        let Some(Coming { chunks, .. }) = &mut part.coming else { return };
+        let entries: Vec<(SocketAddr, Entry)> = alike
+            .into_iter()
+            .flat_map(|(entry, nodes)| nodes.into_iter().map(move |node| (node, entry)))
+            .collect();
         let kept: usize = chunks.values().map(Vec::len).sum();
         if kept + entries.len() > MOST_IN_PART {
             part.coming = None;
@@ -172,17 +178,21 @@
         if chunks.len() < usize::from(of) {
             return;
         }
-        let entries: Vec<Entry> = std::mem::take(chunks).into_values().flatten().collect();
+        let entries = std::mem::take(chunks).into_values().flatten().collect();
         part.coming = None;
         part.take_over(revision, entries);
     }
 
-    /// The revision that a part has, and whether chunks of a newer copy are coming in.
+    /// The default before a copy has come whole.
     pub fn revision(&self, part: PartId) -> Revision {
         self.parts.get(usize::from(part.0)).map_or(Revision::default(), |part| part.revision)
     }
 
-    /// Whether all parts have been covered.
+    /// Whether a digest has ever spoken for the part.
+    pub fn is_covered(&self, part: PartId) -> bool {
+        self.parts.get(usize::from(part.0)).is_some_and(|part| part.cover.is_some())
+    }
+
     pub fn is_whole(&self) -> bool {
         self.parts.iter().all(|part| part.cover.is_some())
     }
@@ -195,28 +205,26 @@
     /// How many databases it names, and how many entries wait for the rest of their copies.
     pub fn len(&self) -> (usize, usize) {
         let waiting =
-            |part: &Part| part.coming.iter().flat_map(|(_, _, chunks)| chunks.values()).map(Vec::len).sum();
+            |part: &Part| part.coming.iter().flat_map(|coming| coming.chunks.values()).map(Vec::len).sum();
         let waiting = self.parts.iter().map(|part| -> usize { waiting(part) }).sum();
         (self.parts.iter().map(|part| part.nodes.len()).sum(), waiting)
     }
 }
 
 impl Part {
-    fn take_over(&mut self, revision: Revision, entries: Vec<Entry>) {
-        let there: std::collections::BTreeSet<SocketAddr> = entries.iter().map(|entry| entry.node).collect();
-        self.nodes.retain(|node, _| there.contains(node));
-        for entry in &entries {
-            let same = self.nodes.get(&entry.node).is_some_and(|kept| {
-                (kept.primary, kept.started, kept.standing) == (entry.primary, entry.started, entry.standing)
-            });
+    fn take_over(&mut self, revision: Revision, entries: BTreeMap<SocketAddr, Entry>) {
+        self.nodes.retain(|node, _| entries.contains_key(node));
+        for (node, entry) in entries {
             // What has not changed stays dated as it was.
-            if !same {
-                self.set(entry);
-                if entry.standing == Standing::Down
-                    && let Some(kept) = self.nodes.get_mut(&entry.node)
-                {
-                    kept.before = None;
-                }
+            if self.nodes.get(&node).is_some_and(|kept| kept.entry == entry) {
+                continue;
+            }
+            self.set(node, entry);
+            if entry.standing == Standing::Down
+                && let Some(kept) = self.nodes.get_mut(&node)
+            {
+                // Dated by the first digest that speaks for it.
+                kept.before = None;
             }
         }
         (self.revision, self.fresh) = (revision, true);
--- a/crates/feed/src/host.rs
+++ b/crates/feed/src/host.rs
@@ -25,7 +25,7 @@
     pub node: SocketAddr,
     /// When the database was last seen, at the earliest.
     pub at: Duration,
-    /// A log position, on the deployment's clock, that it had reached by then.
+    /// A log position, on the deployment's clock, that it had shown when that was told.
     pub position: Option<Duration>,
     pub primary: Option<bool>,
     pub started: Option<Duration>,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod share;
 pub mod size;
 pub mod subscriber;
+pub mod told;
 
 pub use host::{Event, Host, Word};
 pub use line::Control;
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -40,7 +40,7 @@
 pub struct LagClass(pub u8);
 
 /// How a database stands. All but the first is an exception.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// It is seen as often as it should be, and was no further behind than its class of lag says. The class of a
     /// database in step is the first.
@@ -52,9 +52,8 @@
 }
 
 /// What is told of a database by name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Entry {
-    pub node: SocketAddr,
     pub primary: Option<bool>,
     /// When it started, on the deployment's clock, as far as that matters still: a database that has long been warm
     /// needs none.
@@ -68,7 +67,7 @@
     pub revision: Revision,
     pub node: SocketAddr,
     /// `None`: the database has left the list.
-    pub entry: Option<(Option<bool>, Option<Duration>, Standing)>,
+    pub entry: Option<Entry>,
 }
 
 /// One short word for all.
@@ -102,7 +101,8 @@
     /// Place among the chunks of this copy, and how many they are.
     pub place: u16,
     pub of: u16,
-    pub entries: Vec<Entry>,
+    /// The same is told of many: so each entry comes once, with all that it holds for.
+    pub alike: Vec<(Entry, Vec<SocketAddr>)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -26,7 +26,7 @@
 /// So much of the budget of copies may be saved up, in seconds of it.
 const SAVED: f64 = 0.05;
 /// About what a datagram costs besides its entries.
-const HEAD_BYTES: usize = 110;
+const HEAD_BYTES: usize = 90;
 /// How often the counts are told, where they have changed.
 const TOLD_EVERY: Duration = Duration::from_secs(10);
 
@@ -250,7 +250,7 @@
             let part = (turned + known.lot) % 64;
             known.wants &= !(1 << part);
             for chunk in self.book.copy(PartId(part as u8)) {
-                let bytes = HEAD_BYTES + chunk.entries.iter().map(size::entry).sum::<usize>();
+                let bytes = HEAD_BYTES + size::chunk(&chunk);
                 self.copies.spend(bytes as f64);
                 self.host.send(known.address, Some(known.start), Message::Chunk(chunk));
             }
--- a/crates/feed/src/share.rs
+++ b/crates/feed/src/share.rs
@@ -17,6 +17,8 @@
 pub const CROWD: f64 = 100.0;
 /// Routers that have reason to look at a database at the same moment do so at this rate, one after the other.
 const LOOKS: f64 = 4000.0;
+/// So much of its share a router may save up, in seconds of it.
+const SAVED: f64 = 0.05;
 /// So long after the last word of a control instance do first probes begin, at random.
 const FIRST: Duration = Duration::from_secs(1);
 
@@ -64,7 +66,7 @@
     fn reckon(&mut self, now: Duration) {
         let all = self.nodes.len() as f64 / self.basis.period.as_secs_f64().max(1e-3);
         let rate = all * (TIMES / f64::from(self.basis.routers.max(1))).min(1.0);
-        self.tokens.set(now, rate, 1.0);
+        self.tokens.set(now, rate, (rate * SAVED).max(1.0));
     }
 
     /// All others are in the same case at this moment: nothing is saved, and each begins at its own time.
--- a/crates/feed/src/size.rs
+++ b/crates/feed/src/size.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::message::{Change, Digest, Entry};
+use crate::message::{Change, Chunk, Digest, Entry};
 
 /// What a datagram of 1200 bytes leaves for a digest or a chunk: without head and hash (55), the name (33), the start
 /// (10), and some to spare.
@@ -18,22 +18,25 @@
     number(span.as_secs()) + number(u64::from(span.subsec_nanos()))
 }
 
-fn address(node: SocketAddr) -> usize {
+pub fn address(node: SocketAddr) -> usize {
     1 + if node.is_ipv4() { 4 } else { 16 } + number(u64::from(node.port()))
 }
 
 /// Role, start, standing.
-fn standing(started: Option<Duration>) -> usize {
-    2 + 1 + started.map_or(0, span) + 2
-}
-
 pub fn entry(entry: &Entry) -> usize {
-    address(entry.node) + standing(entry.started)
+    2 + 1 + entry.started.map_or(0, span) + 2
 }
 
 pub fn change(change: &Change) -> usize {
-    let entry = change.entry.map_or(0, |(_, started, _)| standing(started));
-    number(u64::from(change.revision.0)) + address(change.node) + 1 + entry
+    number(u64::from(change.revision.0)) + address(change.node) + 1 + change.entry.as_ref().map_or(0, entry)
+}
+
+/// What a chunk takes for its entries and those that they hold for.
+pub fn chunk(chunk: &Chunk) -> usize {
+    let group = |(alike, nodes): &(Entry, Vec<SocketAddr>)| {
+        entry(alike) + 2 + nodes.iter().copied().map(address).sum::<usize>()
+    };
+    chunk.alike.iter().map(group).sum()
 }
 
 /// A digest's, with its changes.
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -9,11 +9,12 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Shortest;
-use crate::copy::{Copy, Cover};
+use crate::copy::Cover;
 use crate::host::{Event, Host, Word};
 use crate::line::{Control, line};
-use crate::message::{CHANGES_ALONG, Digest, DigestNo, ENTRIES_ALONG, Message, PARTS, PartId, Revision};
+use crate::message::{CHANGES_ALONG, Digest, DigestNo, Message, PARTS, PartId, Revision};
 use crate::share::{Basis, Share};
+use crate::told::{Start, Told};
 
 /// So many control instances are followed, and one more while it takes another's place.
 const FOLLOWED: usize = 2;
@@ -38,11 +39,13 @@
 const MEASURED: u32 = 2;
 /// A digest that is later than this is worth nothing; nor is what it says of the way.
 const LATEST: Duration = Duration::from_secs(2);
+/// No datagram is under way for so long: what one that is no more followed has told is forgotten then.
+const REMEMBERED: Duration = Duration::from_secs(60);
 /// So many parts are asked for at a time, again after this, and twice as long after each further try.
 const IN_FLIGHT: usize = 16;
 const PULL_AGAIN: Duration = Duration::from_millis(400);
 const PULL_TRIES: u32 = 4;
-/// A second copy is asked for at some time within this, once there is a first.
+/// A second copy of what one has told is asked for after once to twice this, when the rush is over.
 const SECOND_COPY: Duration = Duration::from_secs(3);
 /// What has been told counts as known for so long, and no control instance speaking for as long is told to people.
 const TOLD_FOR: Duration = Duration::from_secs(1);
@@ -72,13 +75,11 @@
     since: Duration,
     heard: Option<Duration>,
     ask: Duration,
-    start: Option<Incarnation>,
-    number: DigestNo,
+    told: Told,
+    /// The way of its digests, and how many came since then.
     way: Shortest,
     digests: u32,
-    copy: Copy,
-    /// What its last digest speaks for, and what is asked for by that.
-    revisions: Vec<Revision>,
+    /// The parts that its last digest names another revision of.
     pulls: BTreeMap<PartId, Pull>,
     /// From when on it may be asked for a copy although there is one of another's.
     second: Option<Duration>,
@@ -100,8 +101,8 @@
     line: Vec<Control>,
     followed: Vec<Followed>,
     resting: Vec<Followed>,
-    /// The start and the last digest of each that has been heard.
-    heard: BTreeMap<PeerName, (Incarnation, DigestNo)>,
+    /// The start and the last digest of each that has been followed, and until when.
+    heard: BTreeMap<PeerName, ((Incarnation, DigestNo), Duration)>,
     gone: BTreeMap<PeerName, Gone>,
     return_at: Option<Duration>,
     share: Share,
@@ -117,12 +118,17 @@
         self.heard.is_some_and(|heard| heard + silent >= now)
     }
 
+    fn is_whole(&self) -> bool {
+        self.told.copy().is_whole()
+    }
+
+    fn start(&self) -> Option<Incarnation> {
+        self.told.heard().map(|(start, _)| start)
+    }
+
     /// Another process of that name: nothing of the earlier one holds.
-    fn start_anew(&mut self, start: Incarnation) {
-        (self.start, self.number, self.way, self.digests) =
-            (Some(start), DigestNo::default(), Shortest::default(), 0);
-        (self.copy, self.second) = (Copy::default(), None);
-        self.revisions.clear();
+    fn start_anew(&mut self) {
+        (self.way, self.digests, self.second) = (Shortest::default(), 0, None);
         self.pulls.clear();
     }
 }
@@ -170,7 +176,7 @@
         let named = |name: &PeerName| line.iter().any(|control| control.name == *name);
         self.heard.retain(|name, _| named(name));
         self.gone.retain(|name, _| named(name));
-        off.iter().for_each(|name| _ = self.stop_following(now, name, true));
+        off.iter().for_each(|name| _ = self.stop_following(now, name));
         self.resting.retain(|followed| self.line.contains(&followed.control));
         self.return_at = None;
     }
@@ -182,44 +188,43 @@
 
     /// A message that is authentic and not one that came before.
     pub fn message_arrived(&mut self, now: Duration, from: &PeerName, start: Incarnation, message: Message) {
-        if self.left || self.heard.get(from).is_some_and(|(known, _)| *known > start) {
+        if self.left {
             return;
         }
         let Some(place) = self.followed.iter().position(|followed| followed.control.name == *from) else {
             return;
         };
         let followed = &mut self.followed[place];
-        if followed.start != Some(start) {
-            followed.start_anew(start);
+        match followed.told.came(start) {
+            Start::Earlier => return,
+            Start::Same => {}
+            Start::Later => followed.start_anew(),
         }
         match message {
-            Message::Digest(digest) => self.digest(now, place, start, digest),
-            Message::Chunk(chunk) if chunk.entries.len() <= ENTRIES_ALONG => followed.copy.chunk(chunk),
+            Message::Digest(digest) => self.digest(now, place, digest),
+            Message::Chunk(chunk) => followed.told.copy_mut().chunk(chunk),
             Message::Full => self.give_up(now, from, FULL),
             Message::Leaving => self.give_up(now, from, LEFT_ALONE * 4),
             // What a router says is no matter of another's.
-            Message::Chunk(_) | Message::Subscribe | Message::Unsubscribe | Message::Pull(_) => {}
+            Message::Subscribe | Message::Unsubscribe | Message::Pull(_) => {}
         }
     }
 
-    fn digest(&mut self, now: Duration, place: usize, start: Incarnation, digest: Digest) {
+    fn digest(&mut self, now: Duration, place: usize, digest: Digest) {
         let Digest { number, sent, age, watermarks, revisions, changes, period, routers } = digest;
         let grace = self.plan.every * 2;
         let followed = &mut self.followed[place];
         let name = followed.control.name.clone();
-        let before = self.heard.get(&name).filter(|(known, _)| *known == start).map(|(_, number)| *number);
-        let late = Some(number) <= before || number <= followed.number;
-        if late || revisions.len() != PARTS || changes.len() > CHANGES_ALONG {
+        let whole = revisions.len() == PARTS && changes.len() <= CHANGES_ALONG;
+        if !whole || !followed.told.count(number) {
             return;
         }
         let late = followed.way.late(now, sent);
         if late > LATEST {
             return;
         }
-        (followed.number, followed.digests) = (number, followed.digests.saturating_add(1));
-        let speaks = followed.heard.replace(now).is_some();
-        self.heard.insert(name.clone(), (start, number));
-        if !speaks {
+        followed.digests = followed.digests.saturating_add(1);
+        if followed.heard.replace(now).is_none() {
             self.gone.remove(&name);
             self.host.tell(Event::Following(name));
         }
@@ -232,10 +237,11 @@
         }
         // What was late is as much older: the age counts from the sending.
         let at = now.saturating_sub(late).saturating_sub(age);
-        let mut named = followed.copy.change(changes, at);
-        named.extend(followed.copy.cover(&revisions, Cover { number, at, watermarks }));
+        let copy = followed.told.copy_mut();
+        let mut named = copy.change(changes, at);
+        named.extend(copy.cover(&revisions, Cover { number, at, watermarks }));
         for (part, revision) in (0..).map(PartId).zip(&revisions) {
-            let own = followed.copy.revision(part);
+            let own = copy.revision(part);
             if own >= *revision {
                 followed.pulls.remove(&part);
             } else if *revision != Revision::default() {
@@ -245,10 +251,9 @@
                 followed.pulls.entry(part).or_insert(Pull { due, tries: 0 });
             }
         }
-        followed.revisions = revisions;
         for node in named {
             if self.share.is_listed(node)
-                && let Some(word) = followed.copy.word(node)
+                && let Some(word) = copy.word(node)
             {
                 self.host.learnt(word);
             }
@@ -297,23 +302,24 @@
         let until = now + about.mul_f64(self.chance.random_range(0.75..1.5));
         let times = self.gone.get(name).map_or(1, |gone| gone.times);
         self.gone.insert(name.clone(), Gone { until, times });
-        if self.stop_following(now, name, true) {
+        if self.stop_following(now, name) {
             self.host.tell(Event::Lost(name.clone()));
         }
         self.look(now);
     }
 
     /// Whether it had spoken. What is known by it is kept for a while: it may speak again.
-    fn stop_following(&mut self, now: Duration, name: &PeerName, ask_less: bool) -> bool {
+    fn stop_following(&mut self, now: Duration, name: &PeerName) -> bool {
         let Some(place) = self.followed.iter().position(|followed| followed.control.name == *name) else {
             return false;
         };
         let mut followed = self.followed.remove(place);
-        if ask_less {
-            self.host.send(followed.control.address, followed.start, Message::Unsubscribe);
+        if let Some(start) = followed.start() {
+            self.host.send(followed.control.address, Some(start), Message::Unsubscribe);
         }
         let spoke = followed.heard.take().is_some();
-        if followed.start.is_some() {
+        if let Some(heard) = followed.told.heard() {
+            self.heard.insert(name.clone(), (heard, now));
             followed.since = now;
             followed.pulls.clear();
             self.resting.push(followed);
@@ -350,7 +356,8 @@
         }
     }
 
-    fn follows(&self, name: &PeerName) -> bool {
+    /// Whether its digests are taken.
+    pub fn follows(&self, name: &PeerName) -> bool {
         self.followed.iter().any(|followed| followed.control.name == *name)
     }
 
@@ -359,6 +366,10 @@
     }
 
     fn follow(&mut self, now: Duration, control: Control) {
+        // A clock that was set back makes later starts seem earlier: what was said before is over by now.
+        self.heard.retain(|_, (_, at)| *at + REMEMBERED > now);
+        self.resting.retain(|rested| rested.since + REMEMBERED > now);
+        let told = self.heard.get(&control.name).map_or_else(Told::default, |(heard, _)| Told::after(*heard));
         let rested = self.resting.iter().position(|rested| rested.control == control);
         let followed = match rested.map(|place| self.resting.remove(place)) {
             // The way may be another by now.
@@ -375,12 +386,9 @@
                 since: now,
                 heard: None,
                 ask: now,
-                start: None,
-                number: DigestNo::default(),
+                told,
                 way: Shortest::default(),
                 digests: 0,
-                copy: Copy::default(),
-                revisions: Vec::new(),
                 pulls: BTreeMap::new(),
                 second: None,
             },
@@ -395,10 +403,10 @@
         let last = self.followed.iter().filter_map(|followed| place(&followed.control.name)).max();
         let Some(last) = last else { return };
         if self.followed.len() > FOLLOWED {
-            let whole = self.followed.iter().all(|followed| followed.copy.is_whole());
+            let whole = self.followed.iter().all(|followed| followed.is_whole());
             if whole && let Some(control) = self.line.get(last) {
                 let name = control.name.clone();
-                self.stop_following(now, &name, true);
+                self.stop_following(now, &name);
                 self.return_at = None;
             }
             return;
@@ -432,35 +440,40 @@
 
     /// Parts whose copy is not as the digests say are asked for, a few at a time.
     fn pull(&mut self, now: Duration) {
-        let silent = self.silent();
-        let whole = self.followed.iter().any(|one| one.speaks(now, silent) && one.copy.is_whole());
-        // Without any copy one is fetched first: all of them at once would take twice as long.
-        let first = self.followed.iter().position(|one| one.speaks(now, silent) && !one.copy.is_whole());
-        for (place, followed) in self.followed.iter_mut().enumerate() {
-            if !followed.copy.is_whole() {
-                if whole {
-                    let chance = &mut self.chance;
-                    let second = || now + SECOND_COPY.mul_f64(chance.random_range(0.0..1.0));
-                    if *followed.second.get_or_insert_with(second) > now {
-                        continue;
-                    }
-                } else if first != Some(place) && followed.since + SECOND_COPY > now {
-                    continue;
-                }
-            }
+        let (silent, whole) = (self.silent(), self.is_whole());
+        let speaking: Vec<usize> =
+            (0..self.followed.len()).filter(|place| self.followed[*place].speaks(now, silent)).collect();
+        for (turn, place) in speaking.iter().enumerate() {
+            let covered = |part: PartId| {
+                let others = speaking.iter().filter(|other| *other != place);
+                others.clone().any(|other| self.followed[*other].told.copy().is_covered(part))
+            };
+            let followed = &self.followed[*place];
             let asked = followed.pulls.values().filter(|pull| pull.tries > 0 && pull.due > now).count();
-            let due = followed.pulls.iter_mut().filter(|(_, pull)| pull.due <= now);
-            let mut parts = Vec::new();
-            for (part, pull) in due.take(IN_FLIGHT.saturating_sub(asked)) {
+            // Of a part that nobody has told yet, a copy is fetched from one of them first: two would take twice as
+            // long. The other's follows when the rush is over, and so does any second copy.
+            let (second, waited) = (followed.second, followed.since + SECOND_COPY <= now);
+            let may = |part: PartId| {
+                let again = followed.told.copy().revision(part) != Revision::default();
+                let turn = usize::from(part.0) % speaking.len() == turn;
+                again || if covered(part) { second.is_some_and(|at| at <= now) } else { turn || waited }
+            };
+            let due = followed.pulls.iter().filter(|(_, pull)| pull.due <= now).map(|(part, _)| *part);
+            let room = IN_FLIGHT.saturating_sub(asked);
+            let parts: Vec<PartId> = due.filter(|part| may(*part)).take(room).collect();
+            let later = SECOND_COPY.mul_f64(self.chance.random_range(1.0..2.0));
+            let followed = &mut self.followed[*place];
+            if whole {
+                followed.second.get_or_insert(now + later);
+            }
+            for part in &parts {
+                let Some(pull) = followed.pulls.get_mut(part) else { continue };
                 let again = PULL_AGAIN * (1 << pull.tries.min(PULL_TRIES));
-                *pull = Pull {
-                    due: now + again.mul_f64(self.chance.random_range(1.0..1.5)),
-                    tries: pull.tries.saturating_add(1),
-                };
-                parts.push(*part);
+                pull.due = now + again.mul_f64(self.chance.random_range(1.0..1.5));
+                pull.tries = pull.tries.saturating_add(1);
             }
             if !parts.is_empty() {
-                self.host.send(followed.control.address, followed.start, Message::Pull(parts));
+                self.host.send(followed.control.address, followed.start(), Message::Pull(parts));
             }
         }
     }
@@ -471,7 +484,7 @@
             return None;
         }
         let all = self.followed.iter().chain(&self.resting);
-        all.filter_map(|followed| followed.copy.word(node)).max_by_key(|word| word.at)
+        all.filter_map(|followed| followed.told.copy().word(node)).max_by_key(|word| word.at)
     }
 
     /// Whether this router may probe a database now. While it is told of it: only where `alone` (nobody else's probe
@@ -499,20 +512,21 @@
         if std::mem::replace(&mut self.left, true) {
             return;
         }
-        for followed in &self.followed {
-            self.host.send(followed.control.address, followed.start, Message::Unsubscribe);
+        for followed in self.followed.iter().filter(|followed| followed.start().is_some()) {
+            self.host.send(followed.control.address, followed.start(), Message::Unsubscribe);
         }
     }
 
     /// How many databases the copies name, those kept for later too, and how many entries wait for the rest of theirs.
     pub fn kept(&self) -> (usize, usize) {
-        let all = self.followed.iter().chain(&self.resting).map(|followed| followed.copy.len());
+        let all = self.followed.iter().chain(&self.resting).map(|followed| followed.told.copy().len());
         all.fold((0, 0), |sum, (named, waiting)| (sum.0 + named, sum.1 + waiting))
     }
 
-    /// Whether one that speaks has told all there is to know.
+    /// Whether all there is to know has been told by those who speak, by one or another.
     pub fn is_whole(&self) -> bool {
-        self.followed.iter().any(|followed| followed.heard.is_some() && followed.copy.is_whole())
+        let speaking = || self.followed.iter().filter(|followed| followed.heard.is_some());
+        (0..PARTS as u8).all(|part| speaking().any(|one| one.told.copy().is_covered(PartId(part))))
     }
 
     pub fn follows_by(&self) -> impl Iterator<Item = &PeerName> {
--- /dev/null
+++ b/crates/feed/src/told.rs
@@ -0,0 +1,61 @@
+//! What one control instance has told a router: of its latest start alone, and each digest once and in order.
+
+use quillpoint_fleet::Incarnation;
+
+use crate::copy::Copy;
+use crate::message::DigestNo;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Told {
+    start: Incarnation,
+    number: DigestNo,
+    copy: Copy,
+}
+
+/// Whether a message's start is the one that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    Earlier,
+    Same,
+    /// Nothing that was told before holds any more.
+    Later,
+}
+
+impl Told {
+    /// Nothing, of one that was heard before: what it said by then is not taken again.
+    pub fn after((start, number): (Incarnation, DigestNo)) -> Self {
+        Self { start, number, copy: Copy::default() }
+    }
+
+    /// A message of that start has come.
+    pub fn came(&mut self, start: Incarnation) -> Start {
+        if start < self.start {
+            return Start::Earlier;
+        }
+        if start == self.start {
+            return Start::Same;
+        }
+        *self = Self::after((start, DigestNo::default()));
+        Start::Later
+    }
+
+    /// Whether this digest is later than all before.
+    pub fn count(&mut self, number: DigestNo) -> bool {
+        let later = number > self.number;
+        self.number = self.number.max(number);
+        later
+    }
+
+    /// The start that is known, where one is, and the last digest.
+    pub fn heard(&self) -> Option<(Incarnation, DigestNo)> {
+        (self.start != Incarnation::default()).then_some((self.start, self.number))
+    }
+
+    pub fn copy(&self) -> &Copy {
+        &self.copy
+    }
+
+    pub fn copy_mut(&mut self) -> &mut Copy {
+        &mut self.copy
+    }
+}
