Feed: bytes of state, an earlier start after a silence, room for the longest chunk

A control instance whose clock was set back over a restart was refused for good: its start seemed earlier. Now for ten seconds, in which an old datagram may still be under way.

--- a/crates/feed/src/book.rs
+++ b/crates/feed/src/book.rs
@@ -284,6 +284,13 @@
         (0..).zip(chunks).map(|(place, alike)| Chunk { part, revision, place, of, alike }).collect()
     }
 
+    /// About the bytes that it takes.
+    pub fn state_bytes(&self) -> usize {
+        self.parts.len() * size_of::<Part>()
+            + self.len() * size_of::<(SocketAddr, Known)>()
+            + self.log.len() * size_of::<Logged>()
+    }
+
     /// How many databases are listed.
     pub fn len(&self) -> usize {
         self.parts.iter().map(|part| part.nodes.len()).sum()
--- a/crates/feed/src/copy.rs
+++ b/crates/feed/src/copy.rs
@@ -202,6 +202,15 @@
         part.word(node, part.nodes.get(&node)?)
     }
 
+    /// About the bytes that it takes.
+    pub fn state_bytes(&self) -> usize {
+        let (named, waiting) = self.len();
+        size_of::<Self>()
+            + self.parts.len() * size_of::<Part>()
+            + named * size_of::<(SocketAddr, Kept)>()
+            + waiting * size_of::<(SocketAddr, Entry)>()
+    }
+
     /// How many databases it names, and how many entries wait for the rest of their copies.
     pub fn len(&self) -> (usize, usize) {
         let waiting =
--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -289,6 +289,14 @@
         self.subscribers.len()
     }
 
+    /// About the bytes that all this takes, by count and size of what it holds.
+    pub fn state_bytes(&self) -> usize {
+        size_of::<Self>()
+            + self.book.state_bytes()
+            + self.subscribers.len() * size_of::<(PeerName, Subscriber)>()
+            + self.queue.len() * size_of::<PeerName>()
+    }
+
     /// How many copies of parts wait to be sent.
     pub fn waiting(&self) -> usize {
         self.subscribers.values().map(|known| known.wants.count_ones() as usize).sum()
--- a/crates/feed/src/share.rs
+++ b/crates/feed/src/share.rs
@@ -75,6 +75,11 @@
         self.reckon(now);
     }
 
+    /// About the bytes that it takes.
+    pub fn state_bytes(&self) -> usize {
+        self.nodes.len() * size_of::<SocketAddr>() + self.claims.len() * size_of::<(SocketAddr, Claim)>()
+    }
+
     pub fn is_listed(&self, node: SocketAddr) -> bool {
         self.nodes.contains(&node)
     }
--- a/crates/feed/src/size.rs
+++ b/crates/feed/src/size.rs
@@ -8,7 +8,7 @@
 
 /// What a datagram of 1200 bytes leaves for a digest or a chunk: without head and hash (55), the name (33), the start
 /// (10), and some to spare.
-pub const ROOM: usize = 1090;
+pub const ROOM: usize = 1080;
 
 fn number(value: u64) -> usize {
     (64 - (value | 1).leading_zeros() as usize).div_ceil(7)
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -39,8 +39,10 @@
 const MEASURED: u32 = 2;
 /// A digest that is later than this is worth nothing; nor is what it says of the way.
 const LATEST: Duration = Duration::from_secs(2);
-/// No datagram is under way for so long: what one that is no more followed has told is forgotten then.
-const REMEMBERED: Duration = Duration::from_secs(60);
+/// No datagram is under way for so long: which start of one was the last does not matter any more. Its copy may still be
+/// of use for a while: where nothing has changed, none need be fetched anew.
+const REMEMBERED: Duration = Duration::from_secs(10);
+const KEPT: Duration = Duration::from_secs(60);
 /// So many parts are asked for at a time, again after this, and twice as long after each further try.
 const IN_FLIGHT: usize = 16;
 const PULL_AGAIN: Duration = Duration::from_millis(400);
@@ -77,6 +79,8 @@
     /// Since when, and when the last digest came since then.
     since: Duration,
     heard: Option<Duration>,
+    /// When the last came that was taken at any time, or since when it is known.
+    spoke: Duration,
     ask: Duration,
     told: Told,
     /// The way of its digests, and how many came since then.
@@ -179,9 +183,10 @@
         let named = |name: &PeerName| line.iter().any(|control| control.name == *name);
         self.heard.retain(|name, _| named(name));
         self.gone.retain(|name, _| named(name));
-        off.iter().for_each(|name| _ = self.stop_following(now, name));
+        off.iter().for_each(|name| _ = self.stop_following(name));
         self.resting.retain(|followed| self.line.contains(&followed.control));
         self.return_at = None;
+        self.look(now);
     }
 
     /// The databases there are. Nothing is said of any other.
@@ -227,6 +232,7 @@
             return;
         }
         followed.digests = followed.digests.saturating_add(1);
+        followed.spoke = now;
         if followed.heard.replace(now).is_none() {
             self.gone.remove(&name);
             self.host.tell(Event::Following(name));
@@ -305,14 +311,14 @@
         let until = now + about.mul_f64(self.chance.random_range(0.75..1.5));
         let times = self.gone.get(name).map_or(1, |gone| gone.times);
         self.gone.insert(name.clone(), Gone { until, times });
-        if self.stop_following(now, name) {
+        if self.stop_following(name) {
             self.host.tell(Event::Lost(name.clone()));
         }
         self.look(now);
     }
 
     /// Whether it had spoken. What is known by it is kept for a while: it may speak again.
-    fn stop_following(&mut self, now: Duration, name: &PeerName) -> bool {
+    fn stop_following(&mut self, name: &PeerName) -> bool {
         let Some(place) = self.followed.iter().position(|followed| followed.control.name == *name) else {
             return false;
         };
@@ -322,8 +328,7 @@
         }
         let spoke = followed.heard.take().is_some();
         if let Some(heard) = followed.told.heard() {
-            self.heard.insert(name.clone(), (heard, now));
-            followed.since = now;
+            self.heard.insert(name.clone(), (heard, followed.spoke));
             followed.pulls.clear();
             self.resting.push(followed);
             if self.resting.len() > RESTING {
@@ -369,25 +374,24 @@
     }
 
     fn follow(&mut self, now: Duration, control: Control) {
-        // A clock that was set back makes later starts seem earlier: what was said before is over by now.
         self.heard.retain(|_, (_, at)| *at + REMEMBERED > now);
-        self.resting.retain(|rested| rested.since + REMEMBERED > now);
+        self.resting.retain(|rested| rested.spoke + KEPT > now);
         let told = self.heard.get(&control.name).map_or_else(Told::default, |(heard, _)| Told::after(*heard));
         let rested = self.resting.iter().position(|rested| rested.control == control);
         let followed = match rested.map(|place| self.resting.remove(place)) {
-            // The way may be another by now.
-            Some(rested) => Followed {
-                since: now,
-                ask: now,
-                digests: 0,
-                way: Shortest::default(),
-                second: None,
-                ..rested
-            },
+            Some(mut rested) => {
+                if rested.spoke + REMEMBERED <= now {
+                    rested.told.was_silent();
+                }
+                // The way may be another by now.
+                let way = Shortest::default();
+                Followed { since: now, ask: now, digests: 0, way, second: None, ..rested }
+            }
             None => Followed {
                 control,
                 since: now,
                 heard: None,
+                spoke: now,
                 ask: now,
                 told,
                 way: Shortest::default(),
@@ -409,7 +413,7 @@
             let whole = self.followed.iter().all(|followed| followed.is_whole());
             if whole && let Some(control) = self.line.get(last) {
                 let name = control.name.clone();
-                self.stop_following(now, &name);
+                self.stop_following(&name);
                 self.return_at = None;
             }
             return;
@@ -520,6 +524,18 @@
         }
     }
 
+    /// About the bytes that all this takes, by count and size of what it holds.
+    pub fn state_bytes(&self) -> usize {
+        let all = self.followed.iter().chain(&self.resting);
+        let of = |one: &Followed| {
+            size_of::<Followed>()
+                + one.told.copy().state_bytes()
+                + one.pulls.len() * size_of::<(PartId, Pull)>()
+        };
+        let control = self.line.len() * (size_of::<Control>() + 2 * size_of::<PeerName>());
+        size_of::<Self>() + control + all.map(of).sum::<usize>() + self.share.state_bytes()
+    }
+
     /// How many databases the copies name, those kept for later too, and how many entries wait for the rest of theirs.
     pub fn kept(&self) -> (usize, usize) {
         let all = self.followed.iter().chain(&self.resting).map(|followed| followed.told.copy().len());
--- a/crates/feed/src/told.rs
+++ b/crates/feed/src/told.rs
@@ -9,6 +9,8 @@
 pub struct Told {
     start: Incarnation,
     number: DigestNo,
+    /// It has been silent for so long that an earlier start is that of a clock which was set back.
+    silent: bool,
     copy: Copy,
 }
 
@@ -24,12 +26,18 @@
 impl Told {
     /// Nothing, of one that was heard before: what it said by then is not taken again.
     pub fn after((start, number): (Incarnation, DigestNo)) -> Self {
-        Self { start, number, copy: Copy::default() }
+        Self { start, number, ..Self::default() }
+    }
+
+    /// Nothing of it can be under way any more: the start that it names next is its latest, whichever that is.
+    pub fn was_silent(&mut self) {
+        self.silent = true;
     }
 
     /// A message of that start has come.
     pub fn came(&mut self, start: Incarnation) -> Start {
-        if start < self.start {
+        let silent = std::mem::take(&mut self.silent);
+        if start < self.start && !silent {
             return Start::Earlier;
         }
         if start == self.start {
--- a/crates/feed/tests/parts.rs
+++ b/crates/feed/tests/parts.rs
@@ -536,6 +536,40 @@
     assert_eq!(router.known(ms(4750), one), None);
 }
 
+#[test]
+fn a_clock_that_was_set_back_shuts_a_control_instance_out_for_seconds_and_not_for_ever() {
+    let desk = Desk::default();
+    let mut router = subscriber(&desk);
+    let [one, ..] = of_one_part();
+    let control = name("c0");
+    for number in 1..=3 {
+        let digest = said(number, 5000 + u64::from(number) * 100, 1);
+        router.message_arrived(
+            ms(1000 + u64::from(number) * 100),
+            &control,
+            Incarnation(7),
+            Message::Digest(digest),
+        );
+    }
+    router.message_arrived(ms(1310), &control, Incarnation(7), Message::Chunk(chunk(1, 0, 1, &[one])));
+    router.message_arrived(ms(1400), &control, Incarnation(7), Message::Digest(said(4, 5400, 1)));
+    assert!(router.known(ms(1400), one).is_some() && !router.is_alone());
+    // It starts again with an earlier clock, and speaks ten times a second.
+    let mut follows = None;
+    for at in (1500..20_000).step_by(50) {
+        router.timer_fired(ms(at));
+        if at % 100 == 0 {
+            let digest = Message::Digest(said(at as u32 / 100, at, 1));
+            router.message_arrived(ms(at), &control, Incarnation(3), digest);
+        }
+        if at > 2000 && !router.is_alone() {
+            follows.get_or_insert(at);
+        }
+    }
+    assert!(follows.is_some_and(|at| (10_000..16_000).contains(&at)), "{follows:?}");
+    assert_eq!(router.known(ms(20_000), one), None, "nothing of the other start holds");
+}
+
 #[test]
 fn a_share_is_begun_at_random_and_one_database_is_spared() {
     let mut chance = ChaCha8Rng::seed_from_u64(1);
