--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -3,13 +3,14 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use lexopt::Parser;
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
 use crate::experiment::{self, Experiment};
 use crate::plot::{Axes, Line};
-use crate::{detectors, plot, record};
+use crate::{detectors, feed_run, plot, record};
 
 const HELP: &str = "\
 quillpoint-lab: fleets of routers in virtual time
@@ -18,12 +19,17 @@
        quillpoint-lab check FILE
        quillpoint-lab plot RECORD --x FIGURE --y FIGURE --to FILE [--title TEXT]
        quillpoint-lab detectors [--record FILE]
+       quillpoint-lab feed [--routers N] [--nodes N] [--control N] [--regions N] [--period-ms N]
+                           [--copy-rate BYTES] [--seconds N] [--seed N] [--memory-mb N]
+                           [--fault restart|stop|cut|control|control-all] [--record FILE]
        quillpoint-lab schema
 
   run        plays an experiment; with --record each run is added to that file as a line of JSON
   check      says what is wrong with an experiment's file
   plot       draws one figure of a record against another as SVG, a line for shared and one for alone
   detectors  compares ways to know who is there, at 3, 30 and 100 routers and 0 to 40% loss
+  feed       plays control instances that tell routers by exception, at one size; with --record the run is added to that
+             file as a line of the scale run's form
   schema     prints the form of an experiment's file
 ";
 
@@ -38,6 +44,7 @@
     y: Option<String>,
     to: Option<PathBuf>,
     title: Option<String>,
+    feed: feed_run::Sizes,
 }
 
 pub fn run(words: Parser) -> ExitCode {
@@ -71,6 +78,22 @@
             Long("y") => told.y = Some(words.value()?.string()?),
             Long("to") => told.to = Some(words.value()?.into()),
             Long("title") => told.title = Some(words.value()?.string()?),
+            Long("routers") => told.feed.routers = words.value()?.parse()?,
+            Long("nodes") => told.feed.nodes = words.value()?.parse()?,
+            Long("control") => told.feed.control = words.value()?.parse()?,
+            Long("regions") => told.feed.regions = words.value()?.parse()?,
+            Long("period-ms") => {
+                told.feed.period = Duration::from_millis(words.value()?.parse::<u64>()?.max(1));
+            }
+            Long("copy-rate") => told.feed.copy_rate = words.value()?.parse()?,
+            Long("seconds") => told.feed.seconds = words.value()?.parse::<f64>()?.clamp(0.1, 3600.0),
+            Long("seed") => told.feed.seed = words.value()?.parse()?,
+            Long("memory-mb") => told.feed.memory_mb = words.value()?.parse()?,
+            Long("fault") => {
+                let name = words.value()?.string()?;
+                let fault = feed_run::Fault::named(&name);
+                told.feed.fault = Some(fault.ok_or_else(|| format!("there is no such fault: {name}"))?);
+            }
             Value(word) if told.deed.len() < 2 => told.deed.push(word.string()?),
             other => return Err(other.unexpected()),
         }
@@ -88,6 +111,7 @@
         }
         ["run", file] => play(&Experiment::read(Path::new(file))?, words.record.as_deref())?,
         ["detectors"] => compare(words.record.as_deref())?,
+        ["feed"] => feed(&words.feed, words.record.as_deref())?,
         ["plot", file] => draw(Path::new(file), words)?,
         other => return Err(format!("there is no such deed: {}", other.join(" ")).into()),
     }
@@ -120,6 +144,22 @@
     Ok(())
 }
 
+fn feed(sizes: &feed_run::Sizes, to: Option<&Path>) -> Result<(), Box<dyn std::error::Error>> {
+    let outcome = sizes.play()?;
+    println!(
+        "{} routers, {} nodes, {} control instances, {}:",
+        sizes.routers,
+        sizes.nodes,
+        sizes.control,
+        sizes.fault.map_or("calm", feed_run::Fault::name)
+    );
+    outcome.figures.iter().for_each(|(name, is)| println!("  {name} {is:.4}"));
+    if let Some(path) = to {
+        outcome.append(path)?;
+    }
+    Ok(())
+}
+
 fn compare(to: Option<&Path>) -> std::io::Result<()> {
     let mut file = to.map(std::fs::File::create).transpose()?;
     println!(
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod command;
 pub mod detectors;
 pub mod experiment;
+pub mod feed_run;
+pub mod feed_world;
 pub mod network;
 pub mod plot;
 pub mod queue;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -159,7 +159,7 @@
 pub fn node_address(place: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::new(10, 2, (place / 250) as u8, (place % 250) as u8 + 1), 5432))
 }
-fn place_of(address: SocketAddr) -> usize {
+pub fn place_of(address: SocketAddr) -> usize {
     let SocketAddr::V4(address) = address else { return usize::MAX };
     let [_, _, high, low] = address.ip().octets();
     usize::from(high) * 250 + usize::from(low) - 1
