--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -331,6 +331,38 @@
             ),
         ],
         "zone" => vec![
+            ask(
+                router,
+                "peak, bytes a second, a sixth restarted",
+                shared,
+                Budget::None,
+                fault(RESTART, "peak_router_bytes_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth restarted, s",
+                shared,
+                Budget::None,
+                fault(RESTART, "calm_after_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "peak, bytes a second, a sixth stopped for 3 s",
+                shared,
+                Budget::None,
+                fault(STOP, "peak_router_bytes_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth stopped for 3 s, s",
+                shared,
+                Budget::None,
+                fault(STOP, "calm_after_s"),
+                "fleet",
+            ),
             ask(
                 router,
                 "bytes of greetings of all that come back",
@@ -442,6 +474,14 @@
             ),
         ],
         "region" => vec![
+            ask(
+                router,
+                "time until bytes are as before, after healing, s",
+                shared,
+                Budget::None,
+                fault(CUT, "calm_after_s"),
+                "fleet",
+            ),
             ask(
                 control,
                 "bytes in and out a second, 4 machines before 3,950 routers",
--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -32,7 +32,7 @@
     form: Form,
     offset: f64,
     slope: f64,
-    is_held: bool,
+    held: Option<f64>,
 }
 
 impl Curve {
@@ -43,15 +43,24 @@
         let most = most_of(&mut points.iter().filter(|point| point.size <= size));
         let most = most.or_else(|| most_of(&mut points.iter())).unwrap_or_default();
         let is_held = fit.slope < 0.0 || fit.at(place) < most * (1.0 - 1e-9);
-        let (form, offset, slope) =
-            if is_held { (Form::Constant, most, 0.0) } else { (fit.form, fit.offset, fit.slope) };
-        let offset = if offset.abs() < most * 1e-9 { 0.0 } else { up(offset, 6) };
-        Self { form, offset, slope: up(slope, 6), is_held }
+        let offset = if fit.offset.abs() < most * 1e-9 { 0.0 } else { up(fit.offset, 6) };
+        Self { form: fit.form, offset, slope: up(fit.slope, 6), held: is_held.then(|| up(most, 6)) }
     }
 
-    fn at(&self, size: f64) -> f64 {
+    /// By the fit alone.
+    fn by_fit(&self, size: f64) -> f64 {
         self.offset + self.slope * fit::value(self.form, size)
     }
+
+    fn at(&self, size: f64) -> f64 {
+        self.held.unwrap_or_else(|| self.by_fit(size))
+    }
+
+    /// By how many times what the slope is multiplied by is larger at another size.
+    fn growth(&self, from: f64, to: f64) -> f64 {
+        let was = fit::value(self.form, from);
+        if self.slope > 0.0 && was > 0.0 { (fit::value(self.form, to) - was) / was } else { 0.0 }
+    }
 }
 
 /// A calm figure at one size of one axis.
@@ -177,11 +186,12 @@
         row.error += ": the form is wrong";
         return done(row, None);
     };
-    if curve.is_held {
+    if curve.held.is_some() {
         row.error += "; held at the most played";
     }
     let (offset, slope) = (show(curve.offset), show(curve.slope));
     row.sum = match (curve.form, factor) {
+        _ if curve.held.is_some() => show(curve.at(place)),
         (Form::Constant, _) => offset,
         (Form::Log, _) => format!("{offset} + {slope} × ln {}", show(size)),
         (Form::Square, _) => format!("{offset} + {slope} × {}²", show(size)),
@@ -210,13 +220,9 @@
 impl Crossed {
     /// From the place where both were held to another; `figures` are those of either axis there.
     fn of(curves: (Curve, Curve), from: Place, to: Place, figures: (f64, f64)) -> Self {
-        let base = down(curves.0.at(from.0).min(curves.1.at(from.1)), 6);
-        let growth = |curve: Curve, from: f64, to: f64| {
-            let from = fit::value(curve.form, from);
-            if from > 0.0 { (fit::value(curve.form, to) - from) / from } else { 0.0 }
-        };
-        let by_databases = (figures.0 - base).max(0.0) * growth(curves.1, from.1, to.1);
-        let by_routers = (figures.1 - base).max(0.0) * growth(curves.0, from.0, to.0);
+        let base = down(curves.0.by_fit(from.0).min(curves.1.by_fit(from.1)), 6);
+        let by_databases = (figures.0 - base).max(0.0) * curves.1.growth(from.1, to.1);
+        let by_routers = (figures.1 - base).max(0.0) * curves.0.growth(from.0, to.0);
         Self { both: up(by_databases.min(by_routers).max(0.0), 6), base }
     }
 
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -295,15 +295,12 @@
     let told = |error: quillpoint_rig::fit::Unfit| error.to_string();
     let routers = fit(lines, Axis::Routers, mode, name).map_err(told)?;
     let databases = fit(lines, Axis::Databases, mode, name).map_err(told)?;
-    let is_held = |row: &BTreeMap<String, String>| row["error"].ends_with("; held at the most played");
-    let at = |row: &BTreeMap<String, String>, fit: &Fit, size: f64| {
-        if is_held(row) { f64::MAX } else { fit.offset + fit.slope * form(fit.form, size) }
-    };
-    let was = at(one, &routers, held_routers).min(at(other, &databases, held_databases));
+    let at = |fit: &Fit, size: f64| fit.offset + fit.slope * form(fit.form, size);
+    let was = at(&routers, held_routers).min(at(&databases, held_databases));
     let [Some(left), Some(right), Some(both), Some(base)] = [left, right, both, base].map(number) else {
         return Err("no numbers".to_string());
     };
-    if base > was * 1.000_02 || (was < f64::MAX && base < was * 0.9999) {
+    if base > was * 1.000_02 || base < was * 0.9999 {
         return Err("the base is not what was there".to_string());
     }
     // The last number before the axis: of an instance's share, what it makes before those that were played.
@@ -317,13 +314,13 @@
     let (Some(to_routers), Some(to_databases)) = (wanted(one, "routers"), wanted(other, "databases")) else {
         return Err("no sizes".to_string());
     };
-    let growth = |row: &BTreeMap<String, String>, fit: &Fit, from: f64, to: f64| match fit.form {
+    let growth = |fit: &Fit, from: f64, to: f64| match fit.form {
         Form::Constant => 0.0,
-        _ if is_held(row) => 0.0,
+        _ if fit.slope <= 0.0 => 0.0,
         shape => form(shape, to) / form(shape, from) - 1.0,
     };
-    let by_databases = (left - base).max(0.0) * growth(other, &databases, held_databases, to_databases);
-    let by_routers = (right - base).max(0.0) * growth(one, &routers, held_routers, to_routers);
+    let by_databases = (left - base).max(0.0) * growth(&databases, held_databases, to_databases);
+    let by_routers = (right - base).max(0.0) * growth(&routers, held_routers, to_routers);
     let due = by_databases.min(by_routers).max(0.0);
     if both < due * 0.999_999 || both > due * 1.000_1 + 1e-9 {
         return Err(format!("what may grow with both is {due}"));
