--- a/crates/router/tests/told.rs
+++ b/crates/router/tests/told.rs
@@ -4,9 +4,10 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use quillpoint::host::{Condition, Extent, GroupId, Listed, MethodId, NodeId, PeerWord, ZoneId};
+use async_channel::Receiver;
+use quillpoint::host::{Condition, Extent, GroupId, Listed, MethodId, NodeId, PeerWord, RpcId, ZoneId};
 use quillpoint_control::Around;
 use quillpoint_feed::Word;
 use quillpoint_router::deployment::Deployment;
@@ -79,6 +80,11 @@
     Statement::parse(text.into_bytes()).unwrap()
 }
 
+/// An RPC for a group that has just come.
+fn arrive(engine: &Engine, group: u64) -> (RpcId, Receiver<Order>) {
+    engine.rpc_arrived(MethodId(0), &statement(group), Instant::now(), None).unwrap()
+}
+
 fn asked(teller: &Teller) -> Vec<NodeId> {
     std::mem::take(&mut *teller.asked.borrow_mut())
 }
@@ -87,12 +93,12 @@
 fn the_nodes_of_a_group_are_told_of_right_before_its_rpc_and_no_others() {
     let (engine, _work, teller) = engine();
     teller.has_news.set(true);
-    let (_, orders) = engine.rpc_arrived(MethodId(0), &statement(1));
+    let (_, orders) = arrive(&engine, 1);
     assert_eq!(asked(&teller), [node(1, 0), node(1, 1)]);
     let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word at once") };
     assert!([node(1, 0), node(1, 1)].contains(&attempt.node));
     // A group that is not known has no nodes.
-    engine.rpc_arrived(MethodId(0), &statement(9));
+    arrive(&engine, 9);
     assert_eq!(asked(&teller), []);
 }
 
@@ -101,7 +107,7 @@
     let (engine, _work, teller) = engine();
     engine.refreshed();
     assert_eq!(asked(&teller), [], "nothing is held");
-    let (_, orders) = engine.rpc_arrived(MethodId(0), &statement(2));
+    let (_, orders) = arrive(&engine, 2);
     assert!(orders.try_recv().is_err(), "nobody says that any replica is up to date");
     asked(&teller);
     engine.refreshed();
@@ -111,7 +117,7 @@
     engine.refreshed();
     assert!(matches!(orders.try_recv(), Ok(Order::Attempt(_))));
     // One that has ended is not held any more.
-    let (rpc, _orders) = engine.rpc_arrived(MethodId(0), &statement(0));
+    let (rpc, _orders) = arrive(&engine, 0);
     engine.client_left(rpc);
     asked(&teller);
     engine.refreshed();
@@ -132,7 +138,7 @@
 fn a_position_that_is_told_lets_a_read_try_and_its_answer_decides() {
     let (engine, _work, teller) = engine();
     teller.has_news.set(true);
-    let (_, orders) = engine.rpc_arrived(MethodId(0), &statement(1));
+    let (_, orders) = arrive(&engine, 1);
     let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word") };
     let other = if attempt.node == node(1, 0) { node(1, 1) } else { node(1, 0) };
     assert!(engine.may_begin(&attempt));
@@ -144,13 +150,13 @@
     assert!(engine.may_begin(&attempt));
     // An answer that shows no position at all proves nothing either.
     engine.call_ended(attempt, quillpoint::host::Outcome::Ok, heard(None));
-    assert!(!matches!(orders.try_recv(), Ok(Order::Answer(_))));
+    assert!(!matches!(orders.try_recv(), Ok(Order::Answer(..))));
     // One that shows what is needed goes to the client.
-    let (_, orders) = engine.rpc_arrived(MethodId(0), &statement(0));
+    let (_, orders) = arrive(&engine, 0);
     let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word") };
     assert!(engine.may_begin(&attempt));
     engine.call_ended(attempt, quillpoint::host::Outcome::Ok, heard(Some(engine.clock.now())));
-    assert!(matches!(orders.try_recv(), Ok(Order::Answer(_))));
+    assert!(matches!(orders.try_recv(), Ok(Order::Answer(..))));
 }
 
 fn heard(position: Option<Duration>) -> quillpoint_router::engine::Heard {
