--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -1,5 +1,7 @@
 //! A question and the records become rows of a table.
 
+use std::collections::BTreeMap;
+
 use super::Books;
 use super::asks::{Ask, Budget, DATABASES, Over, PLAYED, ROUTERS, SIMULATED, Side, Source};
 use super::numbers::{down, part, show, up};
@@ -137,10 +139,10 @@
     };
     let held_at = played.held;
     let instances = held_at.control as f64;
-    let size = if let Over::Share(each) = over { each * instances } else { wanted };
+    let size = if let Over::Share(each) = over { up(each * instances, 6) } else { wanted };
     row.at = match over {
         Over::Share(each) => {
-            format!("{} routers an instance, {} before {instances}", show(up(each, 6)), show(up(size, 6)))
+            format!("{} routers an instance, {} before {instances}", show(up(each, 6)), show(size))
         }
         Over::Size(..) => format!("{} {}", show(size), axis.name()),
     };
@@ -162,7 +164,7 @@
         let other = if axis == Axis::Routers { Axis::Databases } else { Axis::Routers };
         let wanted = others.iter().find_map(|over| match over {
             Over::Size(axis, size) if *axis == other => Some(*size),
-            Over::Share(each) if other == Axis::Routers => Some(each * instances),
+            Over::Share(each) if other == Axis::Routers => Some(up(each * instances, 6)),
             _ => None,
         });
         Some((other, wanted.unwrap_or_else(|| fit::size(&held_at, other))))
@@ -231,27 +233,52 @@
     }
 }
 
-/// How far the crossing of two axes missed the calm runs off both of them: the one that it was furthest under, or least
-/// over, as a part of what was played (below zero: over), and its sizes.
-fn missed(lines: &[Line], (mode, figure): (Mode, &str), from: Place, held: &Sizes) -> Option<(f64, Place)> {
+/// What calm runs off both axes say of a crossing.
+struct OffAxes {
+    /// How much of the most that may grow with both did, where there is a run more to hold that against.
+    share: Option<f64>,
+    /// By how much the crossing was under the run at the largest sizes, by the others' share, as a part of what was played
+    /// (below zero: over), and its sizes.
+    under: f64,
+    at: Place,
+}
+
+fn off_axes(lines: &[Line], (mode, figure): (Mode, &str), from: Place, held: &Sizes) -> Option<OffAxes> {
     let axes = [Axis::Routers, Axis::Databases].map(|axis| {
         Some((fit::fit(lines, axis, mode, figure).ok()?, fit::points(lines, axis, mode, figure)?.points))
     });
     let [Some((routers, by_routers)), Some((databases, by_databases))] = axes else { return None };
-    let miss = |line: &Line| {
-        let Line::Run { fault: None, sizes, figures, .. } = line else { return None };
+    let mut played = BTreeMap::<(usize, usize, usize), Vec<f64>>::new();
+    for line in lines {
+        let Line::Run { fault: None, sizes, figures, .. } = line else { continue };
         let to = (sizes.routers as f64, sizes.databases as f64);
-        if sizes.mode != mode || to.0 == from.0 || to.1 == from.1 || !fit::is_alike(sizes, held) {
-            return None;
+        if sizes.mode == mode && to.0 != from.0 && to.1 != from.1 && fit::is_alike(sizes, held) {
+            let place = (sizes.routers * sizes.databases, sizes.routers, sizes.databases);
+            played.entry(place).or_default().extend(fit::figure(figures, figure));
         }
-        let played = fit::figure(figures, figure)?;
+    }
+    played.retain(|_, runs| !runs.is_empty());
+    // What was played, what either axis says without what grows with both, and the most of that.
+    let mut places = Vec::new();
+    for ((_, routers_there, databases_there), runs) in played {
+        let to = (routers_there as f64, databases_there as f64);
         let curves =
             (Curve::of(&routers, &by_routers, to.0, to.0), Curve::of(&databases, &by_databases, to.1, to.1));
         let each = (curves.0.at(to.0), curves.1.at(to.1));
-        let crossed = Crossed::of(curves, from, to, each).figure(each);
-        Some(((played - crossed) / played.abs().max(f64::MIN_POSITIVE), to))
+        let crossed = Crossed::of(curves, from, to, each);
+        let is = runs.iter().sum::<f64>() / runs.len() as f64;
+        places.push((to, is, crossed.figure(each) - crossed.both, crossed.both));
+    }
+    let share = |places: &[(Place, f64, f64, f64)]| {
+        let shares =
+            places.iter().filter(|(.., most)| *most > 0.0).map(|(_, is, rest, most)| (is - rest) / most);
+        up(shares.fold(0.0, f64::max), 3)
     };
-    lines.iter().filter_map(miss).max_by(|one, other| one.0.total_cmp(&other.0))
+    let (largest, others) = places.split_last()?;
+    let (to, is, rest, most) = *largest;
+    let by_others = if others.is_empty() { 1.0 } else { share(others) };
+    let under = (is - rest - by_others * most) / is.abs().max(f64::MIN_POSITIVE);
+    Some(OffAxes { share: (!others.is_empty()).then(|| share(&places)), under, at: to })
 }
 
 fn together(lines: &[Line], about: (Mode, &str), one: &Single, other: &Single) -> Option<Row> {
@@ -262,22 +289,27 @@
     let held = (one.held.as_ref()?, other.held.as_ref()?);
     let from = (held.1.routers as f64, held.0.databases as f64);
     let figures = (one.row.figure?, other.row.figure?);
-    let crossed = Crossed::of(curves, from, (one.size, other.size), figures);
+    let mut crossed = Crossed::of(curves, from, (one.size, other.size), figures);
     let mut row = one.row.clone();
     row.at = format!("{} and {}", one.row.at.split(';').next()?, other.row.at.split(';').next()?);
     row.record = format!("{} and databases", one.row.record);
     row.error = NO_FIGURE.to_string();
-    if let Some((by, (routers, databases))) = missed(lines, about, from, held.0) {
-        let missed = if by > 0.0 { "under" } else { "over" };
+    if let Some(OffAxes { share, under, at: (routers, databases) }) = off_axes(lines, about, from, held.0) {
+        let missed = if under > 0.0 { "under" } else { "over" };
         let place = format!("{} routers and {} databases", show(routers), show(databases));
-        row.error = format!("{missed} by {} at {place}", show(part(by.abs())));
-        if by > fit::MOST_ERROR {
+        row.error = format!("{missed} by {} at {place}", show(part(under.abs())));
+        // The most may be over by far, and what was fitted to runs may not.
+        if under > fit::MOST_ERROR || (share.is_some() && -under > fit::MOST_ERROR) {
             row.error += ": the crossing is wrong";
             row.sum = NO_FIGURE.to_string();
             row.figure = None;
             row.basis = "not measured".to_string();
             return Some(row);
         }
+        if let Some(share) = share {
+            row.error += &format!("; both at {} of the most", show(share));
+            crossed.both = up(crossed.both * share, 6);
+        }
     }
     let [left, right, both, base] = [figures.0, figures.1, crossed.both, crossed.base].map(show);
     row.sum = format!("{left} + {right} + {both} − {base}");
--- a/crates/rig/src/capacity/tables.rs
+++ b/crates/rig/src/capacity/tables.rs
@@ -50,8 +50,8 @@
             let (ratio, by) = (show(*ratio), &row.record);
             _ = writeln!(
                 told,
-                "\nFirst: {} of a {}, {when}: {ratio} times its budget ({}; {by}).",
-                row.what, row.role, row.basis
+                "\nFirst: {}, {} ({when}): {ratio} times its budget ({}; {by}).",
+                row.role, row.what, row.basis
             );
         }
         None => told += "\nNothing that is known is over its budget.\n",
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -279,17 +279,18 @@
         let is_alike = (sizes.control, sizes.period_s) == (played.control, played.period_s);
         (is_off && is_alike).then_some(place).filter(|_| figure(figures, name).is_some())
     };
-    let off: Vec<_> = lines.iter().filter_map(off).collect();
+    let off: Vec<Place> = lines.iter().filter_map(off).collect();
     let error = &row["error"];
     let named = (before(error, "routers"), before(error, "databases"));
     if off.is_empty() != (error == "–") {
         return Err("its error is not that of runs off both axes".to_string());
     }
-    if !off.is_empty() && !off.iter().any(|place| (Some(place.0), Some(place.1)) == named) {
-        return Err("the run that its error is of was not played".to_string());
+    let largest = off.iter().copied().max_by(|one, other| (one.0 * one.1).total_cmp(&(other.0 * other.1)));
+    if largest.is_some_and(|place| (Some(place.0), Some(place.1)) != named) {
+        return Err("its error is not that of the largest run off both axes".to_string());
     }
     let by = error.split_once(" by ").and_then(|(_, rest)| number(rest.split(' ').next()?));
-    if error.starts_with("under") && by > Some(MOST_ERROR) {
+    if (error.starts_with("under") || error.contains("; both at ")) && by > Some(MOST_ERROR) {
         return Err("it rests on a crossing that is wrong".to_string());
     }
     let told = |error: quillpoint_rig::fit::Unfit| error.to_string();
@@ -319,15 +320,45 @@
         _ if fit.slope <= 0.0 => 0.0,
         shape => form(shape, to) / form(shape, from) - 1.0,
     };
-    let by_databases = (left - base).max(0.0) * growth(&databases, held_databases, to_databases);
-    let by_routers = (right - base).max(0.0) * growth(&routers, held_routers, to_routers);
-    let due = by_databases.min(by_routers).max(0.0);
+    let most = |left: f64, right: f64, base: f64, to: Place| {
+        let by_databases = (left - base).max(0.0) * growth(&databases, held_databases, to.1);
+        let by_routers = (right - base).max(0.0) * growth(&routers, held_routers, to.0);
+        by_databases.min(by_routers).max(0.0)
+    };
+    // How much of the most the runs off both axes show; nothing is shown by one alone.
+    let mut share = 1.0;
+    if let Some((_, part)) = error.split_once("; both at ") {
+        share = number(part.split(' ').next().unwrap_or_default()).ok_or("no share")?;
+        let there = |axis: Axis, fit: &Fit, size: f64| {
+            let played = points(lines, axis, mode, name).map_or(Vec::new(), |points| points.points);
+            let most =
+                played.iter().filter(|point| point.size <= size).map(|point| point.mean).fold(0.0, f64::max);
+            at(fit, size).max(most)
+        };
+        for to in &off {
+            let (left, right) =
+                (there(Axis::Routers, &routers, to.0), there(Axis::Databases, &databases, to.1));
+            let runs = lines.iter().filter_map(of_run).filter(|(fault, sizes, _)| {
+                fault.is_none() && sizes.mode == mode && (sizes.routers as f64, sizes.databases as f64) == *to
+            });
+            let runs: Vec<f64> = runs.filter_map(|(.., figures)| figure(figures, name)).collect();
+            let is = runs.iter().sum::<f64>() / runs.len() as f64;
+            let most = most(left, right, base, *to);
+            if most > 0.0 && is > (left + right - base + share * most) * 1.000_1 {
+                return Err("a run off both axes shows more that grows with both".to_string());
+            }
+        }
+    }
+    let due = share * most(left, right, base, (to_routers, to_databases));
     if both < due * 0.999_999 || both > due * 1.000_1 + 1e-9 {
         return Err(format!("what may grow with both is {due}"));
     }
     Ok(())
 }
 
+/// Routers and databases.
+type Place = (f64, f64);
+
 fn form(form: Form, size: f64) -> f64 {
     match form {
         Form::Constant => 0.0,
@@ -500,7 +531,7 @@
     let order = tables(&page).into_iter().find(|table| table[0][0] == "ratio").expect("the order");
     assert_eq!(&order[1][1..3], ["router", bytes]);
     assert!(order.windows(2).skip(1).all(|pair| number(&pair[0][0]) >= number(&pair[1][0])));
-    assert!(page.contains(&format!("First: {bytes} of a router, calm: ")));
+    assert!(page.contains(&format!("First: router, {bytes} (calm): ")));
 }
 
 #[test]
@@ -711,7 +742,7 @@
 #[test]
 fn runs_off_both_axes_bear_a_crossing_out_or_refute_it() {
     let what = "processor time of control, cores";
-    let crossing = |name: &str, is: Option<f64>| {
+    let crossing = |name: &str, off: &[(usize, usize, f64)]| {
         let mut lines = Vec::new();
         // A line over either, with a part that grows with both and one that does not.
         let truth = |n: f64, m: f64| 0.001 + 1e-6 * n + 3e-6 * m + 1e-9 * n * m;
@@ -723,17 +754,17 @@
             .into_iter()
             .map(|(n, m)| run(Mode::Feed, n, m, None, &[("router_cpu_part", truth(n as f64, m as f64))]))
             .collect();
-        lines.extend(is.map(|is| run(Mode::Feed, 2000, 2000, None, &[("router_cpu_part", is)])));
+        lines.extend(off.iter().map(|(n, m, is)| run(Mode::Feed, *n, *m, None, &[("router_cpu_part", *is)])));
         let (folder, page) = made(name, lines);
         assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
         let row = row(&page, "router", what, "feed, over routers and databases");
         (folder, page, row)
     };
-    let (_, _, alone) = crossing("crossing", None);
+    let (_, _, alone) = crossing("crossing", &[]);
     assert_eq!((alone["basis"].as_str(), alone["error"].as_str()), ("computed", "–"));
     // No less than the truth at the target.
     assert!(number(&alone["figure"]) >= Some(0.001 + 0.0079 + 0.054 + 0.1422), "{alone:?}");
-    let (folder, page, borne_out) = crossing("borne-out", Some(0.013));
+    let (folder, page, borne_out) = crossing("borne-out", &[(2000, 2000, 0.013)]);
     assert_eq!(borne_out["figure"], alone["figure"]);
     assert!(borne_out["error"].ends_with(" at 2,000 routers and 2,000 databases"), "{borne_out:?}");
     let found = faults(&changed(&page, &borne_out, "error", "–"), &folder.0);
@@ -741,7 +772,21 @@
         found.len() == 1 && found[0].ends_with("its error is not that of runs off both axes"),
         "{found:?}"
     );
-    let (_, _, refuted) = crossing("refuted", Some(0.03));
+    // Two of them tell how much grows with both, and the larger one whether that holds.
+    let both = [(1000, 1000, 0.006), (2000, 2000, 0.013)];
+    let (folder, page, shared) = crossing("shared", &both);
+    assert_eq!(
+        shared["error"],
+        "over by 0.001 at 2,000 routers and 2,000 databases; both at 0.334 of the most"
+    );
+    assert!(number(&shared["figure"]) >= Some(0.001 + 0.0079 + 0.054 + 0.1422), "{shared:?}");
+    assert!(number(&shared["figure"]) < number(&alone["figure"]));
+    let less = shared["error"].replace("0.334", "0.3");
+    let found = faults(&changed(&page, &shared, "error", &less), &folder.0);
+    assert!(found.len() == 1 && found[0].ends_with("shows more that grows with both"), "{found:?}");
+    let (_, _, refuted) = crossing("too-much", &[(1000, 1000, 0.006), (2000, 2000, 0.02)]);
+    assert_eq!((refuted["basis"].as_str(), refuted["figure"].as_str()), ("not measured", "–"));
+    let (_, _, refuted) = crossing("refuted", &[(2000, 2000, 0.03)]);
     assert_eq!((refuted["basis"].as_str(), refuted["figure"].as_str()), ("not measured", "–"));
     assert!(refuted["error"].ends_with(": the crossing is wrong"), "{refuted:?}");
 }
