--- a/crates/rig/src/bin/capacity.rs
+++ b/crates/rig/src/bin/capacity.rs
@@ -1,4 +1,5 @@
-//! `measure/capacity`: writes the tables of `docs/CAPACITY.md` from the records under `docs/measurements`.
+//! `measure/capacity`: writes the tables of `docs/CAPACITY.md` from the records under `docs/measurements`, and draws what
+//! it links to.
 
 use std::error::Error;
 use std::path::PathBuf;
@@ -34,6 +35,9 @@
     }
     let old = std::fs::read_to_string(&page).map_err(|error| format!("{}: {error}", page.display()))?;
     let new = capacity::fill(&old, &records)?;
+    if !check {
+        capacity::draw(&records)?.iter().for_each(|file| println!("{}: drawn", records.join(file).display()));
+    }
     if old == new {
         println!("{}: as the records say", page.display());
     } else if check {
--- a/crates/rig/src/bin/fit.rs
+++ b/crates/rig/src/bin/fit.rs
@@ -5,10 +5,9 @@
 use std::process::ExitCode;
 
 use lexopt::prelude::{Long, Value, ValueExt};
-use quillpoint_lab::plot::{self, Axes};
-use quillpoint_rig::fit::{self, FEWEST_SIZES, MOST_ERROR};
-use quillpoint_rig::record::{self, Axis, Fit, Form, Line, Mode};
-use quillpoint_rig::simulated;
+use quillpoint_rig::fit::{self, FEWEST_SIZES};
+use quillpoint_rig::record::{self, Axis, Fit, Line};
+use quillpoint_rig::{chart, simulated};
 
 const HELP: &str = "\
 Usage: measure/fit RECORD... [--to FILE]
@@ -88,7 +87,7 @@
         let (Some(figure), Some(axis)) = (&wanted.figure, wanted.axis) else {
             return Err("a plot needs --figure and --axis".into());
         };
-        return draw(path, &lines, axis, figure);
+        return chart::draw(path, &lines, axis, figure);
     }
     let fits = fit::fit_all(&lines);
     if fits.is_empty() {
@@ -109,7 +108,7 @@
         fit.figure,
         fit.axis.name(),
         fit.mode.name(),
-        formula(fit),
+        chart::formula(fit),
         fit.points,
         fit.residual,
         fit.spread,
@@ -120,32 +119,3 @@
         if fit.is_usable() { "" } else { ": the form is wrong" },
     );
 }
-
-fn formula(fit: &Fit) -> String {
-    let by = match fit.form {
-        Form::Constant => return format!("{:.4e}", fit.offset),
-        Form::Log => "ln n",
-        Form::Linear => "n",
-        Form::Square => "n²",
-        Form::Product => "n·m",
-    };
-    format!("{:.4e} + {:.4e} {by}", fit.offset, fit.slope)
-}
-
-fn draw(path: &Path, lines: &[Line], axis: Axis, figure: &str) -> Result<(), Box<dyn Error>> {
-    let mut drawn = Vec::new();
-    for mode in Mode::ALL {
-        let Some(played) = fit::points(lines, axis, mode, figure) else { continue };
-        let points = played.points.iter().map(|point| (point.size, point.mean)).collect();
-        drawn.push(plot::Line { name: format!("{}, played", mode.name()), points });
-        let Ok(fit) = fit::fit(lines, axis, mode, figure) else { continue };
-        let size = |point: &fit::Point| {
-            if fit.form == Form::Product { point.routers * point.databases } else { point.size }
-        };
-        let points = played.points.iter().map(|point| (point.size, fit.at(size(point)))).collect();
-        let off = if fit.error > MOST_ERROR { ", wrong" } else { "" };
-        drawn.push(plot::Line { name: format!("{}, {}{off}", mode.name(), formula(&fit)), points });
-    }
-    let title = format!("{figure} over {}", axis.name());
-    plot::lines(path, &Axes { title: &title, x: axis.name(), y: figure }, &drawn)
-}
--- a/crates/rig/src/capacity.rs
+++ b/crates/rig/src/capacity.rs
@@ -76,6 +76,7 @@
         "missing-today" => Some(tables::missing(&[Side::Shared, Side::Any], books)),
         "missing-feed" => Some(tables::missing(&[Side::Feed, Side::Any], books)),
         "slopes" => Some(tables::slopes(books)),
+        "plots" => Some(tables::plots(books)),
         "runs" => Some(tables::runs(books)),
         section if SECTIONS.iter().any(|(name, _)| *name == section) => Some(tables::table(section, books)),
         _ => None,
@@ -101,10 +102,29 @@
         rest = &rest[at + end + END.len()..];
     }
     made += rest;
-    let all =
-        SECTIONS.iter().map(|(name, _)| *name).chain(["missing-today", "missing-feed", "slopes", "runs"]);
+    let all = SECTIONS.iter().map(|(name, _)| *name).chain([
+        "missing-today",
+        "missing-feed",
+        "slopes",
+        "plots",
+        "runs",
+    ]);
     match all.into_iter().find(|name| !seen.contains(name)) {
         Some(name) => Err(Fault::NoMarker(name.to_string())),
         None => Ok(made),
     }
 }
+
+/// Draws what the page links to, into the folder of the records. The files drawn.
+///
+/// # Errors
+/// A record cannot be read or has not been fitted, or a file cannot be written.
+pub fn draw(folder: &Path) -> Result<Vec<String>, Box<dyn std::error::Error>> {
+    let books = Books::read(folder)?;
+    let mut drawn = Vec::new();
+    for (file, figure, axis) in tables::drawings(&books) {
+        crate::chart::draw(&folder.join(&file), books.lines(PLAYED), axis, figure)?;
+        drawn.push(file);
+    }
+    Ok(drawn)
+}
--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -43,6 +43,16 @@
 const CONTROL_BYTES: &str = "control_bytes_in_s+control_bytes_out_s";
 const CONTROL_MESSAGES: &str = "control_messages_in_s+control_messages_out_s";
 
+/// What is drawn of what processes played.
+pub const DRAWN: [(&str, Axis); 6] = [
+    (ROUTER_BYTES, Axis::Databases),
+    (ROUTER_BYTES, Axis::Routers),
+    ("router_cpu_part", Axis::Databases),
+    ("age_p99_s", Axis::Databases),
+    (CONTROL_BYTES, Axis::Routers),
+    (CONTROL_BYTES, Axis::Databases),
+];
+
 /// Faults by the names that measure/scale gives them.
 const RESTART: &str = "restart";
 const STOP: &str = "stop";
--- a/crates/rig/src/capacity/tables.rs
+++ b/crates/rig/src/capacity/tables.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write as _;
 
 use super::Books;
-use super::asks::{Over, SECTIONS, Side, Source, asks};
+use super::asks::{DRAWN, Over, PLAYED, SECTIONS, Side, Source, asks};
 use super::numbers::{part, show, up};
 use super::rows::{HEAD, Row, rows};
 use crate::fit::{self, MOST_ERROR};
@@ -105,6 +105,34 @@
     told
 }
 
+/// The drawings that there are points for, by their files' names.
+pub fn drawings(books: &Books) -> Vec<(String, &'static str, Axis)> {
+    let is_played = |figure: &str, axis: Axis| {
+        let sizes =
+            |mode| fit::points(books.lines(PLAYED), axis, mode, figure).map_or(0, |of| of.points.len());
+        Mode::ALL.into_iter().any(|mode| sizes(mode) >= fit::FEWEST_SIZES)
+    };
+    let name =
+        |figure: &str| figure.split('+').next().unwrap_or_default().replace("_in_s", "").replace('_', "-");
+    let drawn = DRAWN.into_iter().filter(|(figure, axis)| is_played(figure, *axis));
+    drawn
+        .map(|(figure, axis)| (format!("scale-{}-{}.svg", name(figure), axis.name()), figure, axis))
+        .collect()
+}
+
+/// Links to the drawings.
+pub fn plots(books: &Books) -> String {
+    let drawn = drawings(books);
+    let link = |(file, figure, axis): &(String, &str, Axis)| {
+        format!("![{figure} over {}](measurements/{file})\n", axis.name())
+    };
+    if drawn.is_empty() {
+        "Nothing was played at enough sizes.\n".to_string()
+    } else {
+        drawn.iter().map(link).collect()
+    }
+}
+
 /// What was played, and which bounds of a run were broken.
 pub fn runs(books: &Books) -> String {
     let mut told = "| record | mode | fault | runs | routers | databases | instances | bounds broken |\n\
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 //! tables of a page of them.
 
 pub mod capacity;
+pub mod chart;
 pub mod fit;
 pub mod listing;
 pub mod load;
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -534,6 +534,25 @@
     assert!(page.contains(&format!("First: router, {bytes} (calm): ")));
 }
 
+#[test]
+fn what_the_page_links_to_is_drawn() {
+    let (folder, page) = made("drawn", made_up());
+    let drawn = quillpoint_rig::capacity::draw(&folder.0).expect("drawn");
+    assert!(drawn.contains(&"scale-router-bytes-databases.svg".to_string()), "{drawn:?}");
+    for file in &drawn {
+        assert!(page.contains(&format!("](measurements/{file})")), "{file}");
+        assert!(std::fs::read_to_string(folder.0.join(file)).expect("it").contains("feed, played"), "{file}");
+    }
+    assert_eq!(page.matches("](measurements/").count(), drawn.len());
+}
+
+#[test]
+fn each_drawing_of_the_page_is_there() {
+    for link in page().split("](").skip(1).filter_map(|rest| rest.split(')').next()) {
+        assert!(repository().join("docs").join(link).is_file(), "{link}");
+    }
+}
+
 #[test]
 fn without_records_nothing_is_measured() {
     let folder = Folder::new("none");
