Feed: a database that is late is unseen, and seen again at once

After a control instance's death its databases are seen every second period until it passes for dead.

--- a/crates/feed/src/book.rs
+++ b/crates/feed/src/book.rs
@@ -24,10 +24,9 @@
 /// One that is later than all others is so sooner, by this part of a period, as long as they are few.
 const LATE_PERIODS: f64 = 1.5;
 const LATE_MOST: usize = 8;
-/// Before a better class of lag is told it must have held for so many periods. So must one that is seen again, if it has
-/// been unseen twice within this time; else it is told at once.
+/// Before a better class of lag is told it must have held for so many periods. One that is seen again is told at once: where
+/// a control instance has died, the next in line sees its databases only every second period until it passes for dead.
 const BETTER_PERIODS: u32 = 10;
-const TWICE_WITHIN: Duration = Duration::from_secs(10);
 /// A start is told for so long: routers spare a cold database no longer.
 pub const YOUNG: Duration = Duration::from_secs(120);
 /// A database that nobody has answered for is entered after so many periods all the same.
@@ -52,21 +51,9 @@
     told: Option<Entry>,
     /// Since when it has been better than the copy says, and the worst class of lag since then.
     better: Option<(Duration, LagClass)>,
-    /// When it was last told to be unseen, and whether that was the second time of late.
-    fell: Option<Duration>,
-    twice: bool,
 }
 
 impl Known {
-    fn tell(&mut self, now: Duration, wanted: Option<Entry>) {
-        let falls = wanted.is_some_and(|entry| entry.standing == Standing::Unseen) && self.stands_as_seen();
-        if falls {
-            self.twice = self.fell.is_some_and(|fell| fell + TWICE_WITHIN > now);
-            self.fell = Some(now);
-        }
-        (self.told, self.better) = (wanted, None);
-    }
-
     fn stands_as_seen(&self) -> bool {
         self.told.is_some_and(|entry| matches!(entry.standing, Standing::Seen(_)))
     }
@@ -127,8 +114,6 @@
                 failed: false,
                 told: None,
                 better: None,
-                fell: None,
-                twice: false,
             });
         }
     }
@@ -186,7 +171,7 @@
                 continue;
             }
             match (wanted, part.nodes.get_mut(&node)) {
-                (Some(_), Some(known)) => known.tell(now, wanted),
+                (Some(_), Some(known)) => (known.told, known.better) = (wanted, None),
                 _ => _ = part.nodes.remove(&node),
             }
             if fresh[place] {
@@ -355,7 +340,7 @@
         (_, Standing::Seen(is)) => {
             let (since, worst) = known.better.unwrap_or((now, is));
             let worst = worst.max(is);
-            let after = if stood == Standing::Unseen && !known.twice { 0 } else { BETTER_PERIODS };
+            let after = if stood == Standing::Unseen { 0 } else { BETTER_PERIODS };
             known.better = Some((since, worst));
             let holds = since + period * after <= now;
             (if holds { Standing::Seen(worst) } else { stood }, Rank::Better)
