--- /dev/null
+++ b/crates/rig/src/capacity/rows.rs
@@ -0,0 +1,425 @@
+//! A question and the records become rows of a table.
+
+use super::Books;
+use super::asks::{Ask, Budget, DATABASES, Over, PLAYED, ROUTERS, SIMULATED, Side, Source};
+use super::numbers::{down, part, show, up};
+use crate::fit;
+use crate::record::{Axis, Fit, Form, Line, Mode, Sizes};
+
+/// A line of a table, in words.
+#[derive(Clone)]
+pub struct Row {
+    pub role: &'static str,
+    pub what: &'static str,
+    at: String,
+    sum: String,
+    pub figure: Option<f64>,
+    budget: Option<f64>,
+    pub basis: String,
+    error: String,
+    pub record: String,
+    pub mechanism: &'static str,
+}
+
+const NO_FIGURE: &str = "–";
+pub const HEAD: &str = "| role | what | at | sum | figure | budget | ratio | basis | error | record | mechanism |\n\
+     | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+
+/// A fit's curve as it is shown. Where it falls below what was played at no larger a size, that is held instead: a
+/// figure that falls with size is not carried on, and a fit that was too low does not make one pass.
+#[derive(Clone, Copy)]
+struct Curve {
+    form: Form,
+    offset: f64,
+    slope: f64,
+    held: Option<f64>,
+}
+
+impl Curve {
+    /// `size` is the axis' own, and `place` what the form takes.
+    fn of(fit: &Fit, points: &[fit::Point], size: f64, place: f64) -> Self {
+        let most_of =
+            |points: &mut dyn Iterator<Item = &fit::Point>| points.map(|point| point.mean).reduce(f64::max);
+        let most = most_of(&mut points.iter().filter(|point| point.size <= size));
+        let most = most.or_else(|| most_of(&mut points.iter())).unwrap_or_default();
+        let is_held = fit.slope < 0.0 || fit.at(place) < most * (1.0 - 1e-9);
+        let offset = if fit.offset.abs() < most * 1e-9 { 0.0 } else { up(fit.offset, 6) };
+        Self { form: fit.form, offset, slope: up(fit.slope, 6), held: is_held.then(|| up(most, 6)) }
+    }
+
+    /// By the fit alone.
+    fn by_fit(&self, size: f64) -> f64 {
+        self.offset + self.slope * fit::value(self.form, size)
+    }
+
+    fn at(&self, size: f64) -> f64 {
+        self.held.unwrap_or_else(|| self.by_fit(size))
+    }
+
+    /// By how many times what the slope is multiplied by is larger at another size.
+    fn growth(&self, from: f64, to: f64) -> f64 {
+        let was = fit::value(self.form, from);
+        if self.slope > 0.0 && was > 0.0 { (fit::value(self.form, to) - was) / was } else { 0.0 }
+    }
+}
+
+/// A calm figure at one size of one axis.
+struct Single {
+    row: Row,
+    curve: Option<Curve>,
+    held: Option<Sizes>,
+    size: f64,
+}
+
+fn held(sizes: &Sizes, axis: Axis) -> String {
+    let mut told = Vec::new();
+    if axis != Axis::Routers {
+        told.push(format!("{} routers", show(sizes.routers as f64)));
+    }
+    if axis != Axis::Databases {
+        told.push(format!("{} databases", show(sizes.databases as f64)));
+    }
+    if sizes.control > 0 {
+        told.push(format!("{} instances", sizes.control));
+    }
+    if sizes.period_s > 0.0 {
+        told.push(format!("period {} s", show(sizes.period_s)));
+    }
+    told.join(", ")
+}
+
+fn prefix(sizes: &Sizes) -> &'static str {
+    if is_simulated(sizes) { "simulated: " } else { "" }
+}
+
+/// Whether no process took part.
+pub fn is_simulated(sizes: &Sizes) -> bool {
+    sizes.real == 0 && sizes.hollow_processes == 0
+}
+
+fn empty(ask: &Ask) -> Row {
+    let budget = match ask.budget {
+        Budget::Most(most) => Some(down(most, 6)),
+        _ => None,
+    };
+    Row {
+        role: ask.role,
+        what: ask.what,
+        at: NO_FIGURE.to_string(),
+        sum: NO_FIGURE.to_string(),
+        figure: None,
+        budget,
+        basis: "not measured".to_string(),
+        error: NO_FIGURE.to_string(),
+        record: NO_FIGURE.to_string(),
+        mechanism: ask.mechanism,
+    }
+}
+
+fn single(
+    ask: &Ask,
+    books: &Books,
+    (record, mode, figure): (&str, Mode, &str),
+    over: Over,
+    others: &[Over],
+) -> Single {
+    let lines = books.lines(record);
+    let (axis, wanted) = match over {
+        Over::Size(axis, size) => (axis, size),
+        Over::Share(size) => (Axis::Routers, size),
+    };
+    let mut row = empty(ask);
+    row.record = format!("{record}: {figure}, {}, over {}", mode.name(), axis.name());
+    row.at = format!("{} {}", show(up(wanted, 6)), axis.name());
+    let Some(played) = fit::points(lines, axis, mode, figure) else {
+        row.error = "no run".to_string();
+        return Single { row, curve: None, held: None, size: wanted };
+    };
+    let held_at = played.held;
+    let instances = held_at.control as f64;
+    let size = if let Over::Share(each) = over { each * instances } else { wanted };
+    row.at = match over {
+        Over::Share(each) => {
+            format!("{} routers an instance, {} before {instances}", show(up(each, 6)), show(up(size, 6)))
+        }
+        Over::Size(..) => format!("{} {}", show(size), axis.name()),
+    };
+    row.at = format!("{}; {} held", row.at, held(&held_at, axis));
+    let prefix = prefix(&held_at);
+    let done = |row, curve| Single { row, curve, held: Some(held_at.clone()), size };
+    let fit = match fit::fit(lines, axis, mode, figure) {
+        Ok(fit) => Some(fit),
+        Err(fit::Unfit::TooFew { sizes, .. }) => {
+            row.error = format!("sizes played: {sizes}, needed: {}", fit::FEWEST_SIZES);
+            None
+        }
+        Err(fit::Unfit::Numbers { .. }) => {
+            row.error = "no fit".to_string();
+            None
+        }
+    };
+    let factor = if fit.as_ref().is_some_and(|fit| fit.form == Form::Product) {
+        let other = if axis == Axis::Routers { Axis::Databases } else { Axis::Routers };
+        let wanted = others.iter().find_map(|over| match over {
+            Over::Size(axis, size) if *axis == other => Some(*size),
+            Over::Share(each) if other == Axis::Routers => Some(each * instances),
+            _ => None,
+        });
+        Some((other, wanted.unwrap_or_else(|| fit::size(&held_at, other))))
+    } else {
+        None
+    };
+    let place = size * factor.map_or(1.0, |(_, factor)| factor);
+    let usable = fit.as_ref().filter(|fit| fit.is_usable());
+    let curve = usable.map(|fit| Curve::of(fit, &played.points, size, place));
+    if let Some(point) = played.points.iter().find(|point| point.size == size) {
+        row.sum = "played".to_string();
+        row.figure = Some(up(point.most, 3));
+        row.basis = format!("{prefix}measured").replace("simulated: measured", "simulated");
+        row.error = NO_FIGURE.to_string();
+        return done(row, curve);
+    }
+    let Some(fit) = fit else { return done(row, None) };
+    let missed = if fit.predicted < fit.played { "under" } else { "over" };
+    row.error = format!("{missed} by {} at {}", show(part(fit.error)), show(fit.largest));
+    let Some(curve) = curve else {
+        row.error += ": the form is wrong";
+        return done(row, None);
+    };
+    if curve.held.is_some() {
+        row.error += "; held at the most played";
+    }
+    let (offset, slope) = (show(curve.offset), show(curve.slope));
+    row.sum = match (curve.form, factor) {
+        _ if curve.held.is_some() => show(curve.at(place)),
+        (Form::Constant, _) => offset,
+        (Form::Log, _) => format!("{offset} + {slope} × ln {}", show(size)),
+        (Form::Square, _) => format!("{offset} + {slope} × {}²", show(size)),
+        (Form::Product, Some((other, factor))) => {
+            row.at = format!("{} {}, {} {}", show(size), axis.name(), show(factor), other.name());
+            format!("{offset} + {slope} × {} × {}", show(size), show(factor))
+        }
+        (Form::Linear | Form::Product, _) => format!("{offset} + {slope} × {}", show(size)),
+    };
+    row.figure = Some(up(curve.at(place), 3));
+    row.basis = format!("{prefix}predicted");
+    done(row, Some(curve))
+}
+
+/// Where both axes were held: routers and databases.
+type Place = (f64, f64);
+
+/// Both axes at once: what each adds to the figure where both were held, and the most that may grow with both together,
+/// which no run along the axes shows. If that is `c` times the one form times the other, neither slope can be less than
+/// its share of it. The figure is `one + other + both - base`.
+struct Crossed {
+    both: f64,
+    base: f64,
+}
+
+impl Crossed {
+    /// From the place where both were held to another; `figures` are those of either axis there.
+    fn of(curves: (Curve, Curve), from: Place, to: Place, figures: (f64, f64)) -> Self {
+        let base = down(curves.0.by_fit(from.0).min(curves.1.by_fit(from.1)), 6);
+        let by_databases = (figures.0 - base).max(0.0) * curves.1.growth(from.1, to.1);
+        let by_routers = (figures.1 - base).max(0.0) * curves.0.growth(from.0, to.0);
+        Self { both: up(by_databases.min(by_routers).max(0.0), 6), base }
+    }
+
+    fn figure(&self, figures: (f64, f64)) -> f64 {
+        figures.0 + figures.1 + self.both - self.base
+    }
+}
+
+/// How far the crossing of two axes missed the calm runs off both of them: the one that it was furthest under, or least
+/// over, as a part of what was played (below zero: over), and its sizes.
+fn missed(lines: &[Line], (mode, figure): (Mode, &str), from: Place, held: &Sizes) -> Option<(f64, Place)> {
+    let axes = [Axis::Routers, Axis::Databases].map(|axis| {
+        Some((fit::fit(lines, axis, mode, figure).ok()?, fit::points(lines, axis, mode, figure)?.points))
+    });
+    let [Some((routers, by_routers)), Some((databases, by_databases))] = axes else { return None };
+    let miss = |line: &Line| {
+        let Line::Run { fault: None, sizes, figures, .. } = line else { return None };
+        let to = (sizes.routers as f64, sizes.databases as f64);
+        if sizes.mode != mode || to.0 == from.0 || to.1 == from.1 || !fit::is_alike(sizes, held) {
+            return None;
+        }
+        let played = fit::figure(figures, figure)?;
+        let curves =
+            (Curve::of(&routers, &by_routers, to.0, to.0), Curve::of(&databases, &by_databases, to.1, to.1));
+        let each = (curves.0.at(to.0), curves.1.at(to.1));
+        let crossed = Crossed::of(curves, from, to, each).figure(each);
+        Some(((played - crossed) / played.abs().max(f64::MIN_POSITIVE), to))
+    };
+    lines.iter().filter_map(miss).max_by(|one, other| one.0.total_cmp(&other.0))
+}
+
+fn together(lines: &[Line], about: (Mode, &str), one: &Single, other: &Single) -> Option<Row> {
+    let curves = (one.curve?, other.curve?);
+    if curves.0.form == Form::Product || curves.1.form == Form::Product {
+        return None;
+    }
+    let held = (one.held.as_ref()?, other.held.as_ref()?);
+    let from = (held.1.routers as f64, held.0.databases as f64);
+    let figures = (one.row.figure?, other.row.figure?);
+    let crossed = Crossed::of(curves, from, (one.size, other.size), figures);
+    let mut row = one.row.clone();
+    row.at = format!("{} and {}", one.row.at.split(';').next()?, other.row.at.split(';').next()?);
+    row.record = format!("{} and databases", one.row.record);
+    row.error = NO_FIGURE.to_string();
+    if let Some((by, (routers, databases))) = missed(lines, about, from, held.0) {
+        let missed = if by > 0.0 { "under" } else { "over" };
+        let place = format!("{} routers and {} databases", show(routers), show(databases));
+        row.error = format!("{missed} by {} at {place}", show(part(by.abs())));
+        if by > fit::MOST_ERROR {
+            row.error += ": the crossing is wrong";
+            row.sum = NO_FIGURE.to_string();
+            row.figure = None;
+            row.basis = "not measured".to_string();
+            return Some(row);
+        }
+    }
+    let [left, right, both, base] = [figures.0, figures.1, crossed.both, crossed.base].map(show);
+    row.sum = format!("{left} + {right} + {both} − {base}");
+    row.figure = Some(up(crossed.figure(figures), 3));
+    row.basis = format!("{}computed", prefix(held.0));
+    Some(row)
+}
+
+/// The rows of a question: of processes, and of the lab where it has played the like.
+pub fn rows(ask: &Ask, books: &Books) -> Vec<Row> {
+    match &ask.source {
+        Source::Calm { record, mode, figure, over } => {
+            let of = |record| of_calm(ask, books, (record, *mode, figure), over);
+            let simulated = of(SIMULATED).filter(|_| *record == PLAYED && ask.side == Side::Feed);
+            let rows = of(record).unwrap_or_else(|| vec![not_played(ask, (record, *mode, figure), over)]);
+            rows.into_iter().chain(simulated.into_iter().flatten()).collect()
+        }
+        Source::Fault { fault, figure } => {
+            let mut rows: Vec<Row> = [PLAYED, SIMULATED]
+                .iter()
+                .filter_map(|record| of_fault(ask, books, record, fault, figure))
+                .collect();
+            if rows.is_empty() {
+                let mut row = empty(ask);
+                row.record = format!("{PLAYED}: {figure}, {}, {fault}", of_side(ask.side).name());
+                row.error = "no run".to_string();
+                rows.push(row);
+            }
+            rows
+        }
+        Source::Computed { factors, by, from } => {
+            let mut row = empty(ask);
+            let product: Vec<String> = factors.iter().map(|factor| show(up(*factor, 6))).collect();
+            row.sum = product.join(" × ");
+            if *by != 1.0 {
+                row.sum += &format!(" / {}", show(*by));
+            }
+            let all: f64 = factors.iter().map(|factor| up(*factor, 6)).product();
+            row.figure = Some(up(all / by, 3));
+            row.basis = "computed".to_string();
+            row.record = (*from).to_string();
+            row.at = "the target".to_string();
+            vec![row]
+        }
+        Source::Nothing => vec![empty(ask)],
+    }
+}
+
+/// A row for each axis and one for both, if the record has the figure at all.
+fn of_calm(ask: &Ask, books: &Books, about: (&str, Mode, &str), over: &[Over]) -> Option<Vec<Row>> {
+    let singles: Vec<Single> = over.iter().map(|size| single(ask, books, about, *size, over)).collect();
+    if singles.iter().all(|single| single.held.is_none()) {
+        return None;
+    }
+    let both = match singles.as_slice() {
+        [one, other] => together(books.lines(about.0), (about.1, about.2), one, other),
+        _ => None,
+    };
+    Some(singles.into_iter().map(|single| single.row).chain(both).collect())
+}
+
+fn not_played(ask: &Ask, (record, mode, figure): (&str, Mode, &str), over: &[Over]) -> Row {
+    let mut row = empty(ask);
+    let size = |over: &Over| match over {
+        Over::Size(axis, size) => (axis.name(), format!("{} {}", show(*size), axis.name())),
+        Over::Share(each) => ("routers", format!("{} routers an instance", show(up(*each, 6)))),
+    };
+    let (axes, sizes): (Vec<&str>, Vec<String>) = over.iter().map(size).unzip();
+    row.at = sizes.join(", ");
+    row.record = format!("{record}: {figure}, {}, over {}", mode.name(), axes.join(" and "));
+    row.error = "no run".to_string();
+    row
+}
+
+fn of_side(side: Side) -> Mode {
+    if side == Side::Shared { Mode::Shared } else { Mode::Feed }
+}
+
+/// The most that a fault did at the largest size at which it was played, if it was.
+fn of_fault(ask: &Ask, books: &Books, record: &str, fault: &str, figure: &str) -> Option<Row> {
+    let mode = of_side(ask.side);
+    let mut row = empty(ask);
+    row.record = format!("{record}: {figure}, {}, {fault}", mode.name());
+    let lines = books.lines(record);
+    let runs = |fault: Option<&str>, figure: &str| -> Vec<(Sizes, f64)> {
+        let run = |line: &Line| match line {
+            Line::Run { fault: is, sizes, figures, .. } if is.as_deref() == fault && sizes.mode == mode => {
+                Some((sizes.clone(), fit::figure(figures, figure)?))
+            }
+            _ => None,
+        };
+        lines.iter().filter_map(run).collect()
+    };
+    let place = |sizes: &Sizes| (sizes.routers, sizes.databases, sizes.control);
+    let played = runs(Some(fault), figure);
+    let (largest, _) = played.iter().max_by_key(|(sizes, _)| sizes.routers * sizes.databases)?;
+    let most = played
+        .iter()
+        .filter(|(sizes, _)| place(sizes) == place(largest))
+        .map(|(_, is)| *is)
+        .fold(f64::MIN, f64::max);
+    row.figure = Some(up(most, 3));
+    row.sum = "played".to_string();
+    row.error = NO_FIGURE.to_string();
+    row.at = format!(
+        "{} routers, {} databases, {} instances",
+        show(largest.routers as f64),
+        show(largest.databases as f64),
+        largest.control
+    );
+    let is_whole = largest.routers as f64 >= ROUTERS && largest.databases as f64 >= DATABASES;
+    let by = if is_simulated(largest) { "simulated" } else { "measured" };
+    row.basis = if is_whole { by.to_string() } else { format!("{by} below the target") };
+    if let Budget::TimesCalm(times, figure) = ask.budget {
+        // A run with a fault begins with calm seconds, whose figures it has beside the fault's.
+        let calm = runs(Some(fault), figure).into_iter().chain(runs(None, figure));
+        let calm = calm.filter(|(sizes, _)| place(sizes) == place(largest)).map(|(_, is)| is);
+        row.budget = calm.reduce(f64::min).map(|least| down(least * times, 3));
+    }
+    Some(row)
+}
+
+impl Row {
+    pub fn ratio(&self) -> Option<f64> {
+        Some(up(self.figure? / self.budget?, 3))
+    }
+
+    pub fn line(&self) -> String {
+        let number = |is: Option<f64>| is.map_or(NO_FIGURE.to_string(), show);
+        let budget = self.budget.map_or("none named".to_string(), show);
+        format!(
+            "| {} | {} | {} | {} | {} | {budget} | {} | {} | {} | {} | {} |\n",
+            self.role,
+            self.what,
+            self.at,
+            self.sum,
+            number(self.figure),
+            number(self.ratio()),
+            self.basis,
+            self.error,
+            self.record,
+            self.mechanism,
+        )
+    }
+}
