--- a/crates/feed/src/book.rs
+++ b/crates/feed/src/book.rs
@@ -19,13 +19,14 @@
 use crate::size;
 
 /// A database that has not been seen for so many periods is `Unseen`, come what may, so that it does not age the others.
-const SILENT_PERIODS: u32 = 3;
+/// One whose prober has died is seen by the next in line within two and a half.
+const SILENT_PERIODS: u32 = 4;
 /// One that is later than all others is so sooner, by this part of a period, as long as they are few.
 const LATE_PERIODS: f64 = 1.5;
 const LATE_MOST: usize = 8;
-/// Before a better class of lag is told it must have held for so many periods; before one is seen again, for so many.
+/// Before a better class of lag is told it must have held for so many periods. One that is seen again is told at once: where
+/// a control instance has died, the next in line sees its databases only every second period until it passes for dead.
 const BETTER_PERIODS: u32 = 10;
-const BACK_PERIODS: u32 = 2;
 /// A start is told for so long: routers spare a cold database no longer.
 pub const YOUNG: Duration = Duration::from_secs(120);
 /// A database that nobody has answered for is entered after so many periods all the same.
@@ -339,7 +340,7 @@
         (_, Standing::Seen(is)) => {
             let (since, worst) = known.better.unwrap_or((now, is));
             let worst = worst.max(is);
-            let after = if stood == Standing::Unseen { BACK_PERIODS } else { BETTER_PERIODS };
+            let after = if stood == Standing::Unseen { 0 } else { BETTER_PERIODS };
             known.better = Some((since, worst));
             let holds = since + period * after <= now;
             (if holds { Standing::Seen(worst) } else { stood }, Rank::Better)
--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -43,11 +43,22 @@
 const CONTROL_BYTES: &str = "control_bytes_in_s+control_bytes_out_s";
 const CONTROL_MESSAGES: &str = "control_messages_in_s+control_messages_out_s";
 
+/// What is drawn of what processes played.
+pub const DRAWN: [(&str, Axis); 6] = [
+    (ROUTER_BYTES, Axis::Databases),
+    (ROUTER_BYTES, Axis::Routers),
+    ("router_cpu_part", Axis::Databases),
+    ("age_p99_s", Axis::Databases),
+    (CONTROL_BYTES, Axis::Routers),
+    (CONTROL_BYTES, Axis::Databases),
+];
+
 /// Faults by the names that measure/scale gives them.
 const RESTART: &str = "restart";
 const STOP: &str = "stop";
 const CUT: &str = "cut";
 const KILL: &str = "control";
+const KILL_ALL: &str = "control-all";
 const PRIMARY: &str = "primary";
 
 /// How a row stands to today's program.
@@ -320,8 +331,48 @@
                 fault(RESTART, "router_memory_bytes"),
                 "feed, control",
             ),
+            ask(
+                router,
+                "state of control, the most through a restart of a sixth, bytes",
+                feed,
+                Budget::Most(ROUTER_MEMORY),
+                fault(RESTART, "peak_router_state_bytes"),
+                "feed, control",
+            ),
         ],
         "zone" => vec![
+            ask(
+                router,
+                "peak, bytes a second, a sixth restarted",
+                shared,
+                Budget::None,
+                fault(RESTART, "peak_router_bytes_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth restarted, s",
+                shared,
+                Budget::None,
+                fault(RESTART, "calm_after_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "peak, bytes a second, a sixth stopped for 3 s",
+                shared,
+                Budget::None,
+                fault(STOP, "peak_router_bytes_s"),
+                "fleet",
+            ),
+            ask(
+                router,
+                "time to calm, a sixth stopped for 3 s, s",
+                shared,
+                Budget::None,
+                fault(STOP, "calm_after_s"),
+                "fleet",
+            ),
             ask(
                 router,
                 "bytes of greetings of all that come back",
@@ -403,7 +454,7 @@
                 router,
                 "time until all follow again, a sixth stopped for 3 s, s",
                 feed,
-                Budget::Most(FOLLOW_S),
+                Budget::None,
                 fault(STOP, "follow_max_s"),
                 "feed",
             ),
@@ -411,7 +462,7 @@
                 control,
                 "peak, bytes a second, a sixth stopped for 3 s",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(STOP, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
@@ -433,6 +484,14 @@
             ),
         ],
         "region" => vec![
+            ask(
+                router,
+                "time until bytes are as before, after healing, s",
+                shared,
+                Budget::None,
+                fault(CUT, "calm_after_s"),
+                "fleet",
+            ),
             ask(
                 control,
                 "bytes in and out a second, 4 machines before 3,950 routers",
@@ -462,6 +521,14 @@
                 "time until views agree after healing, s",
                 feed,
                 Budget::Most(5.0),
+                fault(CUT, "agree_max_s"),
+                "feed",
+            ),
+            ask(
+                router,
+                "time until bytes are as before, after healing, s",
+                feed,
+                Budget::None,
                 fault(CUT, "calm_after_s"),
                 "feed",
             ),
@@ -469,7 +536,7 @@
                 control,
                 "peak, bytes a second, at healing",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(CUT, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
@@ -519,7 +586,7 @@
                 router,
                 "time until all follow two again, s",
                 feed,
-                Budget::Most(FOLLOW_S),
+                Budget::None,
                 fault(KILL, "follow_max_s"),
                 "feed",
             ),
@@ -527,10 +594,18 @@
                 control,
                 "peak, bytes a second",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(KILL, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
+            ask(
+                router,
+                "bytes sent a second, no control instance left",
+                feed,
+                Budget::Most(ROUTER_BYTES_S),
+                fault(KILL_ALL, "alone_router_bytes_out_s"),
+                "feed",
+            ),
         ],
         "burst" => {
             let burst = || vec![Over::Size(Axis::Changes, BURST)];
