The long scale run holds one place for routers and databases, and plays off both axes

A slope over routers and one over databases say what grows with both only if they were held at one place. 18,000 databases are played with a longer period, as the stand-ins would take the cores.

--- a/crates/rig/src/scale/forms.rs
+++ b/crates/rig/src/scale/forms.rs
@@ -50,11 +50,19 @@
     for routers in [250, 500, 1000, 2000, 4000] {
         plays.push(calm(sizes(Mode::Feed, routers, 250, seed), Axis::Routers));
     }
-    for databases in [1125, 2250, 4500, 9000, 18_000] {
+    for databases in [500, 1000, 2000, 4000] {
+        plays.push(calm(sizes(Mode::Feed, 250, databases, seed), Axis::Databases));
+    }
+    // Off both axes: what grows with both.
+    for times in [2, 4] {
+        plays.push(play(sizes(Mode::Feed, 250 * times, 250 * times, seed), None, None));
+    }
+    // The target's number of databases, at a pace that the stand-ins bear.
+    for databases in [9000, 18_000] {
         let sizes = Sizes { period_s: 2.0, ..sizes(Mode::Feed, 250, databases, seed) };
-        plays.push(calm(sizes, Axis::Databases));
+        plays.push(play(sizes, None, None));
     }
-    for routers in [100, 150, 200, 250] {
+    for routers in [50, 100, 150, 200, 250] {
         plays.push(calm(sizes(Mode::Shared, routers, 250, seed), Axis::Routers));
     }
     for databases in [500, 1000, 1500, 2000] {
