--- a/crates/rig/src/scale/play.rs
+++ b/crates/rig/src/scale/play.rs
@@ -39,6 +39,8 @@
 /// All follow for so long before anything is counted; of the feed, until the second copies have come too.
 const SETTLED: Duration = Duration::from_secs(2);
 const COPIED: Duration = Duration::from_secs(7);
+/// A real router has taken a database of the list in by then.
+const LISTED: Duration = Duration::from_micros(300);
 /// After what was counted, what was changed last may still become known.
 const KNOWN: Duration = Duration::from_secs(2);
 /// How long it is looked at whether it comes to calm after a fault.
@@ -587,7 +589,8 @@
             ..sizes.clone()
         };
         let mut world = World::start(&off, programs)?;
-        sleep(SETTLED);
+        // The list of databases is read first, and is no part of the load.
+        sleep(SETTLED + LISTED * sizes.databases as u32);
         let clients = world.clients()?;
         let before = world.snapshot(true)?;
         sleep(Duration::from_secs_f64(OFF_S.min(sizes.seconds)));
