Feed: the number of routers that a digest names falls slowly

A control instance that has just started counts few routers; had it died then, each of thousands would have taken itself for one of few and probed as much.

--- a/crates/feed/src/share.rs
+++ b/crates/feed/src/share.rs
@@ -17,6 +17,8 @@
 pub const CROWD: f64 = 100.0;
 /// Routers that have reason to look at a database at the same moment do so at this rate, one after the other.
 const LOOKS: f64 = 4000.0;
+/// With each digest the number of routers falls by no more than this: by two thirds in some ten seconds.
+const FALLS: f64 = 0.995;
 /// So much of its share a router may save up, in seconds of it.
 const SAVED: f64 = 0.05;
 /// So long after the last word of a control instance do first probes begin, at random.
@@ -56,7 +58,11 @@
         self.reckon(now);
     }
 
+    /// A digest says so. A control instance that has just started counts few routers at first: the number falls slowly,
+    /// so that losing it then lets nobody think that it is one of few.
     pub fn basis_changed(&mut self, now: Duration, basis: Basis) {
+        let least = (f64::from(self.basis.routers) * FALLS) as u32;
+        let basis = Basis { routers: basis.routers.max(least), ..basis };
         if basis != self.basis {
             self.basis = basis;
             self.reckon(now);
--- a/crates/feed/tests/parts.rs
+++ b/crates/feed/tests/parts.rs
@@ -632,6 +632,26 @@
     assert!(first[5] > 50 && first[30] > 600 && first[59] > 1600 && first[59] < 2100, "{first:?}");
 }
 
+#[test]
+fn a_control_instance_that_counts_few_routers_at_its_start_lets_nobody_loose() {
+    let mut chance = ChaCha8Rng::seed_from_u64(3);
+    let claims = |digests: usize, chance: &mut ChaCha8Rng| {
+        let mut share = Share::new(Basis { period: ms(100), routers: 4000 }, ms(0));
+        share.nodes_changed(ms(0), &(0..2000).map(node).collect());
+        (0..digests).for_each(|_| share.basis_changed(ms(0), Basis { period: ms(100), routers: 8 }));
+        let mut claims = 0;
+        for at in (0..10_000).step_by(10) {
+            claims += (0..2000).filter(|number| share.claim(ms(at), node(*number), None, chance)).count();
+        }
+        claims
+    };
+    // 2000 databases, ten times a second, by 4000 routers, four times over: 20 a second is the share of one.
+    let after_one = claims(1, &mut chance);
+    assert!((150..=210).contains(&after_one), "{after_one}");
+    let after_a_minute = claims(1200, &mut chance);
+    assert!(after_a_minute > 20_000, "in time it is believed: {after_a_minute}");
+}
+
 #[test]
 fn a_share_is_begun_at_random_and_one_database_is_spared() {
     let mut chance = ChaCha8Rng::seed_from_u64(1);
