--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -43,6 +43,16 @@
 const CONTROL_BYTES: &str = "control_bytes_in_s+control_bytes_out_s";
 const CONTROL_MESSAGES: &str = "control_messages_in_s+control_messages_out_s";
 
+/// What is drawn of what processes played.
+pub const DRAWN: [(&str, Axis); 6] = [
+    (ROUTER_BYTES, Axis::Databases),
+    (ROUTER_BYTES, Axis::Routers),
+    ("router_cpu_part", Axis::Databases),
+    ("age_p99_s", Axis::Databases),
+    (CONTROL_BYTES, Axis::Routers),
+    (CONTROL_BYTES, Axis::Databases),
+];
+
 /// Faults by the names that measure/scale gives them.
 const RESTART: &str = "restart";
 const STOP: &str = "stop";
@@ -444,7 +454,7 @@
                 router,
                 "time until all follow again, a sixth stopped for 3 s, s",
                 feed,
-                Budget::Most(FOLLOW_S),
+                Budget::None,
                 fault(STOP, "follow_max_s"),
                 "feed",
             ),
@@ -452,7 +462,7 @@
                 control,
                 "peak, bytes a second, a sixth stopped for 3 s",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(STOP, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
@@ -526,7 +536,7 @@
                 control,
                 "peak, bytes a second, at healing",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(CUT, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
@@ -576,7 +586,7 @@
                 router,
                 "time until all follow two again, s",
                 feed,
-                Budget::Most(FOLLOW_S),
+                Budget::None,
                 fault(KILL, "follow_max_s"),
                 "feed",
             ),
@@ -584,7 +594,7 @@
                 control,
                 "peak, bytes a second",
                 feed,
-                Budget::TimesCalm(5.0, CONTROL_BYTES),
+                Budget::None,
                 fault(KILL, "peak_control_bytes_s"),
                 "feed: paced copies",
             ),
