--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -250,11 +250,11 @@
     let [Some((routers, by_routers)), Some((databases, by_databases))] = axes else { return None };
     let mut played = BTreeMap::<(usize, usize, usize), Vec<f64>>::new();
     for line in lines {
-        let Line::Run { fault: None, sizes, figures, .. } = line else { continue };
+        let Line::Run { fault: None, sizes, figures, bounds, .. } = line else { continue };
         let to = (sizes.routers as f64, sizes.databases as f64);
         if sizes.mode == mode && to.0 != from.0 && to.1 != from.1 && fit::is_alike(sizes, held) {
             let place = (sizes.routers * sizes.databases, sizes.routers, sizes.databases);
-            played.entry(place).or_default().extend(fit::figure(figures, figure));
+            played.entry(place).or_default().extend(fit::figure(figures, bounds, figure));
         }
     }
     played.retain(|_, runs| !runs.is_empty());
@@ -396,8 +396,10 @@
     let lines = books.lines(record);
     let runs = |fault: Option<&str>, figure: &str| -> Vec<(Sizes, f64)> {
         let run = |line: &Line| match line {
-            Line::Run { fault: is, sizes, figures, .. } if is.as_deref() == fault && sizes.mode == mode => {
-                Some((sizes.clone(), fit::figure(figures, figure)?))
+            Line::Run { fault: is, sizes, figures, bounds, .. }
+                if is.as_deref() == fault && sizes.mode == mode =>
+            {
+                Some((sizes.clone(), fit::figure(figures, bounds, figure)?))
             }
             _ => None,
         };
--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -12,7 +12,7 @@
 
 use linregress::fit_low_level_regression_model_without_statistics as least_squares;
 
-use crate::record::{Axis, Fit, Form, Line, Mode, Sizes};
+use crate::record::{Axis, Bound, Fit, Form, Line, Mode, Sizes};
 
 /// One is left out, two decide a slope, and one is left to say that a line is none.
 pub const FEWEST_SIZES: usize = 4;
@@ -95,9 +95,16 @@
     }
 }
 
-/// A figure by its name, or a sum of several by their names with `+` between them.
-pub fn figure(figures: &BTreeMap<String, f64>, name: &str) -> Option<f64> {
-    name.split('+').map(|name| figures.get(name.trim())).sum()
+/// A figure by its name, or a sum of several by their names with `+` between them. What hollow routers showed in a run
+/// whose calibration failed on it counts for nothing.
+pub fn figure(figures: &BTreeMap<String, f64>, bounds: &[Bound], name: &str) -> Option<f64> {
+    let stands = |name: &str| {
+        let of_routers = name.strip_prefix("router_");
+        let is_broken =
+            |bound: &Bound| !bound.held && bound.figure.strip_prefix("calibration_") == of_routers;
+        of_routers.is_none() || !bounds.iter().any(is_broken)
+    };
+    name.split('+').map(|name| figures.get(name.trim()).filter(|_| stands(name.trim()))).sum()
 }
 
 /// All that must be the same in two runs for them to be points of one axis.
@@ -127,8 +134,8 @@
 pub fn points(lines: &[Line], axis: Axis, mode: Mode, name: &str) -> Option<Points> {
     let mut places = BTreeMap::<[u64; 7], BTreeMap<u64, Vec<(&Sizes, f64)>>>::new();
     for line in lines {
-        let Line::Run { fault: None, sizes, figures, .. } = line else { continue };
-        let (true, Some(is)) = (sizes.mode == mode, figure(figures, name)) else { continue };
+        let Line::Run { fault: None, sizes, figures, bounds, .. } = line else { continue };
+        let (true, Some(is)) = (sizes.mode == mode, figure(figures, bounds, name)) else { continue };
         let place = places.entry(held(sizes, axis)).or_default();
         place.entry(size(sizes, axis).to_bits()).or_default().push((sizes, is));
     }
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -10,7 +10,7 @@
 use quillpoint_rig::capacity::fill;
 use quillpoint_rig::capacity::numbers::{show, up};
 use quillpoint_rig::fit::{MOST_ERROR, fit, fit_all, points};
-use quillpoint_rig::record::{Axis, Fit, Form, Line, Mode, Sizes, read, write};
+use quillpoint_rig::record::{Axis, Bound, Fit, Form, Line, Mode, Sizes, read, write};
 
 fn repository() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -100,15 +100,23 @@
     sizes.real + sizes.hollow_processes > 0
 }
 
-fn of_run(line: &Line) -> Option<(Option<&str>, &Sizes, &BTreeMap<String, f64>)> {
+type Run<'a> = (Option<&'a str>, &'a Sizes, (&'a BTreeMap<String, f64>, &'a [Bound]));
+
+fn of_run(line: &Line) -> Option<Run<'_>> {
     match line {
-        Line::Run { fault, sizes, figures, .. } => Some((fault.as_deref(), sizes, figures)),
+        Line::Run { fault, sizes, figures, bounds, .. } => Some((fault.as_deref(), sizes, (figures, bounds))),
         Line::Fit(_) => None,
     }
 }
 
-fn figure(figures: &BTreeMap<String, f64>, name: &str) -> Option<f64> {
-    name.split('+').map(|name| figures.get(name)).sum()
+/// A sum's parts, but none of hollow routers whose calibration failed on it.
+fn figure((figures, bounds): (&BTreeMap<String, f64>, &[Bound]), name: &str) -> Option<f64> {
+    let part = |name: &str| {
+        let calibration = name.replacen("router_", "calibration_", 1);
+        let failed = bounds.iter().any(|bound| bound.figure == calibration && !bound.held);
+        figures.get(name).copied().filter(|_| !failed || calibration == name)
+    };
+    name.split('+').map(part).sum()
 }
 
 fn size(sizes: &Sizes, axis: Axis) -> f64 {
@@ -534,6 +542,26 @@
     assert!(page.contains(&format!("First: router, {bytes} (calm): ")));
 }
 
+#[test]
+fn a_figure_on_which_calibration_failed_counts_for_nothing() {
+    let mut lines = made_up();
+    for line in &mut lines {
+        if let Line::Run { sizes, bounds, fault: None, .. } = line
+            && (sizes.mode, sizes.databases) == (Mode::Feed, 18_000)
+        {
+            let figure = "calibration_memory_bytes".to_string();
+            bounds.push(Bound { figure, is: 0.2, most: 0.1, held: false });
+        }
+    }
+    let (folder, page) = made("calibration", lines);
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let memory = row(&page, "router", "memory of control, bytes", "feed, over databases");
+    assert_eq!((memory["basis"].as_str(), memory["figure"].as_str()), ("predicted", "6,400,000"));
+    let bytes = row(&page, "router", "bytes in and out a second", "feed, over databases");
+    assert_eq!(bytes["basis"], "measured");
+    assert!(page.contains("calibration_memory_bytes 0.2 for 0.1 at 500 × 18,000"));
+}
+
 #[test]
 fn what_the_page_links_to_is_drawn() {
     let (folder, page) = made("drawn", made_up());
