--- a/crates/rig/src/scale/books.rs
+++ b/crates/rig/src/scale/books.rs
@@ -84,14 +84,18 @@
         self.asked.borrow_mut().remove(&node)
     }
 
-    /// How old what is known of each sampled database is; all that it has ever run, where nothing is known.
-    pub fn ages(&self) -> Vec<Duration> {
+    /// How old what is known of each sampled database is; `None` where nothing is known.
+    pub fn ages(&self) -> Vec<Option<Duration>> {
         let now = self.now();
-        let ran = self.start.elapsed();
-        let age = |heard: &Option<Duration>| heard.map_or(ran, |at| now.saturating_sub(at));
+        let age = |heard: &Option<Duration>| heard.map(|at| now.saturating_sub(at));
         self.sampled.borrow().values().map(age).collect()
     }
 
+    /// How long this router runs.
+    pub fn ran(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     pub fn sampled(&self) -> Vec<SocketAddr> {
         self.sampled.borrow().keys().copied().collect()
     }
--- a/crates/rig/src/scale/crowd.rs
+++ b/crates/rig/src/scale/crowd.rs
@@ -200,9 +200,10 @@
                 continue;
             }
             running += 1;
-            let ages = router.ages();
-            following += usize::from(ages.iter().all(|age| *age <= self.follows));
-            ages.into_iter().for_each(|age| note(&mut self.ages, age));
+            let (ran, ages) = router.ages();
+            following += usize::from(ages.iter().all(|age| age.is_some_and(|age| age <= self.follows)));
+            // Of what it has never heard of it knows nothing for as long as it runs.
+            ages.into_iter().for_each(|age| note(&mut self.ages, age.unwrap_or(ran)));
         }
         let at = now().as_micros() as u64;
         self.quarters.push((at, all));
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -213,9 +213,9 @@
         self.running.as_ref().map_or(0, |running| running.control.state_bytes())
     }
 
-    /// How old what it knows of its sampled databases is.
-    pub fn ages(&self) -> Vec<Duration> {
-        let Some(Running { control, books, .. }) = &self.running else { return Vec::new() };
+    /// How long it runs, and how old what it knows of its sampled databases is.
+    pub fn ages(&self) -> (Duration, Vec<Option<Duration>>) {
+        let Some(Running { control, books, .. }) = &self.running else { return Default::default() };
         if let Control::Subscriber(subscription) = control {
             for node in books.sampled() {
                 if let Some(word) = subscription.known(node) {
@@ -223,7 +223,7 @@
                 }
             }
         }
-        books.ages()
+        (books.ran(), books.ages())
     }
 
     pub fn risen(&self, node: SocketAddr) -> Option<Duration> {
--- a/crates/rig/src/scale/orders.rs
+++ b/crates/rig/src/scale/orders.rs
@@ -101,7 +101,7 @@
     /// Resident memory of the process before there were routers, and now.
     pub base_bytes: u64,
     pub resident_bytes: u64,
-    /// Routers all of whose sampled databases are known to be no older than the plan says.
+    /// Routers that know of all their sampled databases, nothing older than the plan says.
     pub following: usize,
     /// When some router that runs was last seen not to follow.
     pub unfollowed_us: u64,
