--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -305,6 +305,34 @@
                     "router",
                 ),
             ]);
+            for (role, what, by) in [
+                (discovery, "calls a second", "watch"),
+                (discovery, "processor time, cores", "watch"),
+                (discovery, "memory, bytes", "watch"),
+                (database, "bytes of probes a second", "fleet among control instances"),
+                (database, "processor time of probes, cores", "fleet among control instances"),
+                (database, "memory and state of probes, bytes", "fleet among control instances"),
+                (connection, "state of one, bytes", "router"),
+                (connection, "bytes a second of one", "router"),
+            ] {
+                rows.push(ask(role, what, any, Budget::None, Source::Nothing, by));
+            }
+            rows.push(ask(
+                discovery,
+                "state: the list, bytes",
+                any,
+                Budget::None,
+                computed(&[entry, DATABASES], 1.0, "crates/rig/src/listing.rs"),
+                "watch",
+            ));
+            rows.push(ask(
+                connection,
+                "statements a second of one",
+                any,
+                Budget::None,
+                computed(&[STATEMENTS], CONNECTIONS, "crates/rig/src/capacity/asks.rs"),
+                "router",
+            ));
             rows
         }
         "restarts" => vec![
