--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -539,7 +539,7 @@
             ),
             ask(
                 router,
-                "age of what is known, the oldest, while cut for 30 s, s",
+                "age of what is known, the oldest, while routers are cut for 30 s (control instances are not), s",
                 feed,
                 Budget::None,
                 fault(CUT, "fault_age_max_s"),
@@ -613,7 +613,7 @@
             ),
             ask(
                 router,
-                "time until all follow two again, s",
+                "time until all are told again, s",
                 feed,
                 Budget::None,
                 fault(KILL, "follow_max_s"),
