--- a/crates/rig/src/scale/clients.rs
+++ b/crates/rig/src/scale/clients.rs
@@ -30,8 +30,7 @@
                 staying.push(connect(*router)?);
             }
         }
-        let every =
-            Duration::from_secs_f64(ASKING as f64 / statements.max(f64::MIN_POSITIVE).min(1e6).max(1e-3));
+        let every = Duration::from_secs_f64(ASKING as f64 / statements.clamp(1e-3, 1e6));
         let load = (statements > 0.0).then(|| Load::of(routers, ASKING, every, &["look"]));
         Ok(Self { load, _staying: staying })
     }
