Budgets of a router's control stand in one place, for the run's bounds and the page

Four constants stood both in the scale run's bounds and in the page's questions, and could have drifted apart. No value changes; the page's and the fits' tests pass as they were.

--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -9,6 +9,7 @@
 
 use crate::listing;
 use crate::record::{Axis, Mode};
+use crate::scale::bounds::{CONTROL_MEMORY, ROUTER_BYTES_S, ROUTER_CPU, ROUTER_MEMORY};
 
 /// The target.
 pub const ROUTERS: f64 = 7_900.0;
@@ -20,13 +21,9 @@
 const ZONE_ROUTERS: f64 = 1_317.0;
 const RESTART_EVERY_S: f64 = 13.5;
 
-/// Bytes of control a router and second, and of all.
-const ROUTER_BYTES_S: f64 = 13_000.0;
+/// Bytes of control of all routers a second, and a control machine's part of them.
 const ALL_BYTES_S: f64 = ROUTER_BYTES_S * ROUTERS;
 const CONTROL_BYTES_S: f64 = ALL_BYTES_S / CONTROL_MACHINES;
-const ROUTER_CPU: f64 = 0.047;
-const ROUTER_MEMORY: f64 = 64e6;
-const CONTROL_MEMORY: f64 = 1e9;
 const AGE_S: f64 = 0.3;
 const CHANGE_S: f64 = 1.0;
 const FOLLOW_S: f64 = 3.0;
--- a/crates/rig/src/scale/bounds.rs
+++ b/crates/rig/src/scale/bounds.rs
@@ -6,12 +6,12 @@
 use crate::scale::faults::Fault;
 
 /// A router's control side, a second and in all (docs/CAPACITY.md).
-const ROUTER_BYTES_S: f64 = 13_000.0;
-const ROUTER_CPU: f64 = 0.047;
-const ROUTER_MEMORY: f64 = 64e6;
+pub const ROUTER_BYTES_S: f64 = 13_000.0;
+pub const ROUTER_CPU: f64 = 0.047;
+pub const ROUTER_MEMORY: f64 = 64e6;
 /// A control instance's share, with nothing else on its core.
 const CONTROL_CPU: f64 = 1.0;
-const CONTROL_MEMORY: f64 = 1e9;
+pub const CONTROL_MEMORY: f64 = 1e9;
 /// What is known is no older, where databases are probed as often as by default.
 const AGE_P99_S: f64 = 0.3;
 const USUAL_PERIOD_S: f64 = 0.15;
