A session's read behind many other sessions' writes still sees its own session's

Cause: crates/router/src/line.rs, Written::note: of the sessions that wrote on a connection 64 were kept, and the one whose commit was the oldest was dropped, for its client "has long been told". But a read that was sent ahead of all answers may wait behind more writes than that; at its turn its session was not known any more, and where clients carry the marks nothing told the module of the write: it went to a replica that had not shown the commit. A write without a key, which may be any session's, was not noted at all, though later reads wait for it.

Change: what is dropped, or has no key, raises a group's own mark, which holds for all sessions of the connection. There are no more of these than groups that commit.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -614,8 +614,7 @@
             put_no_room(&mut out, false, HOLDS_ALL);
             return self.ready(out);
         }
-        let session = statement.session.map(|key| (statement.group, key));
-        let known = session.and_then(|session| written.borrow().last(session));
+        let known = statement.session.and_then(|key| written.borrow().last(statement.group, key));
         let Some((rpc, orders)) = engine.rpc_arrived(method, statement, arrived, known) else {
             pg::put_error(&mut out, false, "53300", "its time was over before its turn: nothing ran", None);
             return self.ready(out);
@@ -628,8 +627,8 @@
                     continue;
                 }
                 Ok(Order::Answer(answer, position)) => {
-                    if let Some((session, commit)) = session.zip(position).filter(|_| statement.writes) {
-                        written.borrow_mut().note(session, commit);
+                    if let Some(commit) = position.filter(|_| statement.writes) {
+                        written.borrow_mut().note(statement.group, statement.session, commit);
                     }
                     pg::put_answer(&mut out, &answer);
                 }
--- a/crates/router/src/line.rs
+++ b/crates/router/src/line.rs
@@ -121,26 +121,40 @@
     }
 }
 
-/// The last commits of the sessions that wrote on a connection: a client that asks ahead of its answers cannot
-/// tell of them yet.
+/// The last commits of what wrote on a connection: a client that asks ahead of its answers cannot tell of them yet.
 #[derive(Default)]
-pub struct Written(BTreeMap<(GroupId, SessionKey), Duration>);
+pub struct Written {
+    sessions: BTreeMap<(GroupId, SessionKey), Duration>,
+    /// By group: the last commit of those that are kept no more, or had no key and may be any session's. It holds for
+    /// all sessions, as one whose own is not kept may have asked long before its turn.
+    others: BTreeMap<GroupId, Duration>,
+}
 
-/// So many sessions are kept. Writes of a group come one after the other, so that the client has long been told of
-/// the oldest.
+/// So many sessions are kept.
 const MOST_WRITTEN: usize = 4 * SIDE_BY_SIDE;
 
 impl Written {
-    pub fn last(&self, session: (GroupId, SessionKey)) -> Option<Duration> {
-        self.0.get(&session).copied()
+    /// The last commit that this session's read must see, as far as it was written here.
+    pub fn last(&self, group: GroupId, key: SessionKey) -> Option<Duration> {
+        self.sessions.get(&(group, key)).max(self.others.get(&group)).copied()
     }
 
-    pub fn note(&mut self, session: (GroupId, SessionKey), commit: Duration) {
-        let known = self.0.entry(session).or_default();
+    /// A write has been committed.
+    pub fn note(&mut self, group: GroupId, key: Option<SessionKey>, commit: Duration) {
+        let Some(key) = key else { return self.note_other(group, commit) };
+        let known = self.sessions.entry((group, key)).or_default();
         *known = commit.max(*known);
-        let oldest = self.0.iter().min_by_key(|(_, commit)| **commit).map(|(session, _)| *session);
-        if let Some(oldest) = oldest.filter(|_| self.0.len() > MOST_WRITTEN) {
-            self.0.remove(&oldest);
+        let oldest = self.sessions.iter().min_by_key(|(_, commit)| **commit);
+        let oldest = oldest.map(|(session, commit)| (*session, *commit));
+        if let Some((session, commit)) = oldest.filter(|_| self.sessions.len() > MOST_WRITTEN) {
+            self.sessions.remove(&session);
+            self.note_other(session.0, commit);
         }
     }
+
+    /// Only groups that have a primary commit, so that there are no more of these than groups.
+    fn note_other(&mut self, group: GroupId, commit: Duration) {
+        let known = self.others.entry(group).or_default();
+        *known = commit.max(*known);
+    }
 }
--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -197,6 +197,30 @@
     assert_eq!((came(&primary), came(&replicas[0])), (1, 0), "the replica had not shown the commit");
 }
 
+#[test]
+fn a_read_behind_many_other_sessions_writes_still_sees_its_own_sessions() {
+    // More sessions write in between than are kept one by one; the read was sent before any of them was answered.
+    let (primary, replicas, router, _discovery) = group(
+        1,
+        &[
+            (r#""update","recent""#, r#""update","own_writes""#),
+            (r#""WriteMarks":"router""#, r#""WriteMarks":"client""#),
+            (r#""Probes":true"#, r#""Probes":false"#),
+        ],
+    );
+    let mut other = router.client();
+    assert!((0..20).all(|_| other.rpc("look", 9000) == ok()));
+    std::thread::sleep(Duration::from_millis(5));
+    let mut client = router.client();
+    let writes = (0..100).map(|place| of(&format!("k{place}"), "enter", 9000));
+    let mut all: Vec<String> = writes.collect();
+    all.push(of("k0", "recent", 9000));
+    send_all(&mut client, &all);
+    assert!(all.iter().all(|_| client.reply() == ok()));
+    let came = |node: &Node| node.queries().iter().filter(|query| id(query) == id(&all[100])).count();
+    assert_eq!((came(&primary), came(&replicas[0])), (1, 0), "the replica had not shown the commit");
+}
+
 #[test]
 fn with_its_client_what_is_under_way_ends_and_what_waits_is_not_begun() {
     let (primary, replicas, router, _discovery) = group(1, &[]);
