A client that always has more to say keeps neither others nor its own statements waiting

Cause: crates/router/src/client.rs, Session::run: since statements run side by side, the session's task yielded only after an answer. Messages that are passed over (the extended protocol's, up to a Sync) give none, and a read that finds bytes does not wait, so that one client who sent such without an end kept the one thread: other clients, the module's timer, drain and SIGTERM stood. What it had in line itself stood as well, as reading was always polled first. A client that asks for encryption again and again did the same before its session began, and outstayed its time.

Change: it yields after each piece that came; after four pieces in a row what is in line goes on first; the opening ends by its time. In line.rs nothing more is begun while 64 KiB of answers wait to be written, but for the first one, for which they wait: so far that held only for what joins the line, and 16 that had joined were all begun.

Tests: a_client_that_never_ends_its_extended_messages_keeps_nobody_waiting, seen to fail on the text before (another client's RPC had no answer within 30 s). In what_is_read_ahead_is_bounded_by_statements_and_by_bytes the flood "without an end" was of faults, and so ended after eight; it is now of statements that can be used and that nothing answers, until the lines of the nodes show 16 of them: stricter than before. The bound on answers has no test of its own.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -31,6 +31,8 @@
 
 /// How far a client that sends ahead of its answers is read while something is in line, beyond what is in line.
 const READ_AHEAD: usize = 4 * PIECE;
+/// So many times in a row a client is heard before what it has in line goes on.
+const HEARD_IN_A_ROW: usize = READ_AHEAD / PIECE;
 /// How long a connection may take to its first whole message, and a message that has begun at the most.
 const OPENING: Duration = Duration::from_secs(2);
 const LONGEST_MESSAGE: Duration = Duration::from_secs(2);
@@ -297,6 +299,7 @@
         // How the session ends once all that came before has been answered.
         let mut last = None;
         let mut whole_by = self.opening;
+        let mut heard = 0;
         loop {
             let accounts = &self.clients.accounts;
             while last.is_none()
@@ -345,9 +348,18 @@
                     None => future::pending().await,
                 }
             };
-            // Whether the client is still there is looked at first: an order may have come at the same time.
-            match came.or(cancel).or(answered).or(sent).await {
-                Ok(Event::Came | Event::Answered) => {}
+            // Whether the client is still there is looked at first: an order may have come at the same time. But one
+            // that sends without a pause what is passed over has what it asked before go on, too.
+            let event = match heard < HEARD_IN_A_ROW {
+                true => came.or(cancel).or(answered).or(sent).await,
+                false => answered.or(sent).or(cancel).or(came).await,
+            };
+            heard = if heard < HEARD_IN_A_ROW && matches!(event, Ok(Event::Came)) { heard + 1 } else { 0 };
+            match event {
+                // A client that always has more to say must not keep the others from theirs: nothing here waits
+                // while there is something to read.
+                Ok(Event::Came) => future::yield_now().await,
+                Ok(Event::Answered) => {}
                 Ok(Event::Cancelled) => {
                     let mut out = Vec::new();
                     pg::put_error(&mut out, false, "57014", "cancelled by its client; it may have run", None);
@@ -356,7 +368,6 @@
                 Ok(Event::Sent(whole)) => {
                     whole?;
                     sending = None;
-                    // A client that always has more to say must not keep the others from theirs.
                     future::yield_now().await;
                 }
                 Err(end) => {
@@ -476,6 +487,11 @@
             if begins {
                 return Ok(true);
             }
+            // One that asks for encryption again and again must neither keep the others from theirs nor stay.
+            future::yield_now().await;
+            if self.opening.is_some_and(|by| Instant::now() >= by) {
+                return Err(End::Late);
+            }
         }
     }
 
--- a/crates/router/src/line.rs
+++ b/crates/router/src/line.rs
@@ -13,7 +13,7 @@
 
 /// So many statements of a connection are under way, or wait to be, or wait to be written, at the most.
 pub const SIDE_BY_SIDE: usize = 16;
-/// With so many bytes of answers that wait to be written nothing more is begun.
+/// With so many bytes of answers that wait to be written nothing more is begun, but for what these wait for.
 const ANSWERS_WAIT: usize = 64 * 1024;
 
 /// What a statement reaches, as far as its order among others goes.
@@ -65,11 +65,16 @@
 
     /// Whether one more may join; `alone` where memory is short: then one at a time.
     pub fn has_room(&self, alone: bool) -> bool {
+        self.0.is_empty() || (!alone && self.0.len() < SIDE_BY_SIDE && self.answers() < ANSWERS_WAIT)
+    }
+
+    /// Bytes of answers that wait to be written.
+    fn answers(&self) -> usize {
         let answers = self.0.iter().map(|place| match place {
             Place::Answered(answered) => answered.out.len(),
             Place::Asked { .. } => 0,
         });
-        self.0.is_empty() || (!alone && self.0.len() < SIDE_BY_SIDE && answers.sum::<usize>() < ANSWERS_WAIT)
+        answers.sum()
     }
 
     /// Joins the line. Its life begins when none that it waits for is ahead of it.
@@ -108,12 +113,17 @@
 
     /// Goes on with all that may. Whether one has been answered.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
-        let (mut ahead, mut any) = (Vec::new(), false);
+        let (mut ahead, mut any, mut answers) = (Vec::new(), false, self.answers());
         for place in &mut self.0 {
             let Place::Asked { reach, life, begun } = place else { continue };
-            *begun |= !ahead.iter().any(|earlier| reach.waits_for(earlier));
+            // The first one is what the others' answers wait for.
+            let may_begin = ahead.is_empty() || answers < ANSWERS_WAIT;
+            *begun |= may_begin && !ahead.iter().any(|earlier| reach.waits_for(earlier));
             match begun.then(|| life.as_mut().poll(cx)) {
-                Some(std::task::Poll::Ready(answered)) => (*place, any) = (Place::Answered(answered), true),
+                Some(std::task::Poll::Ready(answered)) => {
+                    answers += answered.out.len();
+                    (*place, any) = (Place::Answered(answered), true);
+                }
                 _ => ahead.push(*reach),
             }
         }
--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -221,6 +221,28 @@
     assert_eq!((came(&primary), came(&replicas[0])), (1, 0), "the replica had not shown the commit");
 }
 
+#[test]
+fn a_client_that_never_ends_its_extended_messages_keeps_nobody_waiting() {
+    let (primary, _, mut router, _discovery) = group(1, &[("9000.0", "2500.0")]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    // One that waits while the flood goes on, and whose answer must come all the same.
+    send_all(&mut client, &[of("a", "enter", 2500)]);
+    primary.await_queries(1);
+    let piece = [&b"P\0\0\0\x08\0\0\0\0"[..], &b"H\0\0\0\x04".repeat(10_000)].concat();
+    let second = router.client();
+    let floods = [&client, &second].map(|client| {
+        let (mut stream, piece) = (client.stream.try_clone().unwrap(), piece.clone());
+        std::thread::spawn(move || while stream.write_all(&piece).is_ok() {})
+    });
+    others_go_on(&router, "look");
+    primary.set(Does::Answers);
+    assert_eq!(client.reply(), ok(), "it goes on while its client floods");
+    router.signal("-TERM");
+    assert!(router.ended().success(), "and so does the end");
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+}
+
 #[test]
 fn with_its_client_what_is_under_way_ends_and_what_waits_is_not_begun() {
     let (primary, replicas, router, _discovery) = group(1, &[]);
@@ -265,7 +287,9 @@
     // Without an end, and nothing of it is answered.
     replicas.iter().for_each(|node| node.set(Does::Waits));
     let mut stream = client.stream.try_clone().unwrap();
-    let floods = std::thread::spawn(move || while stream.write_all(&pg::query(b"/* ")).is_ok() {});
+    let next = || pg::query(of("a", "look", 9000).as_bytes());
+    let floods = std::thread::spawn(move || while stream.write_all(&next()).is_ok() {});
+    await_all(&replicas, all.len() + SIDE_BY_SIDE);
     others_go_on(&router, "enter");
     _ = client.stream.shutdown(std::net::Shutdown::Both);
     floods.join().unwrap();
