Feed: digests that waited together for a router are no fresher for it

A router that stands still as it follows a control instance again reads its digests at one moment, each with a shorter way than the last, so that none was late: from the third on what they cover was dated as though just sent (followed again with a kept copy: sent at 3.3 s, read at 4.4 s, dated 4.35 s). Digests that come within half an interval of the last that counted now measure as one, and one that undercuts the shortest way by more than 50 ms only measures.

Left: digests in haste (20 ms apart) that are read over more than an interval undercut by less than 50 ms each.

--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -35,8 +35,12 @@
 const FULL: Duration = Duration::from_secs(10);
 /// When the one that stands further in front is tried again, about.
 const RETURN: Duration = Duration::from_secs(10);
-/// The first digests tell only how long the way is.
+/// The first digests tell only how long the way is. Those that come within half of their interval count as one: they
+/// may have waited for this router together.
 const MEASURED: u32 = 2;
+/// One whose way was so much shorter than any before it shows that they had waited somewhere, and it may have as well:
+/// it only measures.
+const QUICKER: Duration = Duration::from_millis(50);
 /// A digest that is later than this is worth nothing; nor is what it says of the way.
 const LATEST: Duration = Duration::from_secs(2);
 /// No datagram is under way for so long: which start of one was the last does not matter any more. Its copy may still be
@@ -83,9 +87,10 @@
     spoke: Duration,
     ask: Duration,
     told: Told,
-    /// The way of its digests, and how many came since then.
+    /// The way of its digests, how many came since then, and when the last of these was counted.
     way: Shortest,
     digests: u32,
+    counted: Option<Duration>,
     /// The parts that its last digest names another revision of.
     pulls: BTreeMap<PartId, Pull>,
     /// From when on it may be asked for a copy although there is one of another's.
@@ -135,7 +140,7 @@
 
     /// Another process of that name: nothing of the earlier one holds.
     fn start_anew(&mut self) {
-        (self.way, self.digests, self.second) = (Shortest::default(), 0, None);
+        (self.way, self.digests, self.counted, self.second) = (Shortest::default(), 0, None, None);
         self.pulls.clear();
     }
 }
@@ -227,11 +232,14 @@
         if !whole || !followed.told.count(number) {
             return;
         }
+        let quicker = followed.way.quicker(now, sent);
         let late = followed.way.late(now, sent);
         if late > LATEST {
             return;
         }
-        followed.digests = followed.digests.saturating_add(1);
+        if followed.counted.is_none_or(|at| at + self.plan.every / 2 <= now) {
+            (followed.digests, followed.counted) = (followed.digests.saturating_add(1), Some(now));
+        }
         followed.spoke = now;
         if followed.heard.replace(now).is_none() {
             self.gone.remove(&name);
@@ -241,7 +249,7 @@
         self.share.basis_changed(now, Basis { period: period.clamp(LEAST_PERIOD, MOST_PERIOD), routers });
         self.look(now);
         let followed = &mut self.followed[place];
-        if followed.digests <= MEASURED {
+        if followed.digests <= MEASURED || quicker > QUICKER {
             return;
         }
         // What was late is as much older: the age counts from the sending.
@@ -385,7 +393,7 @@
                 }
                 // The way may be another by now.
                 let way = Shortest::default();
-                Followed { since: now, ask: now, digests: 0, way, second: None, ..rested }
+                Followed { since: now, ask: now, digests: 0, counted: None, way, second: None, ..rested }
             }
             None => Followed {
                 control,
@@ -396,6 +404,7 @@
                 told,
                 way: Shortest::default(),
                 digests: 0,
+                counted: None,
                 pulls: BTreeMap::new(),
                 second: None,
             },
--- a/crates/feed/tests/parts.rs
+++ b/crates/feed/tests/parts.rs
@@ -616,6 +616,48 @@
     assert_eq!(router.known(ms(20_000), one), None, "nothing of the other start holds");
 }
 
+#[test]
+fn digests_that_waited_together_for_a_router_are_no_fresher_than_they_were_sent() {
+    let desk = Desk::default();
+    let mut router = subscriber(&desk);
+    let [one, ..] = of_one_part();
+    let control = name("c0");
+    // The publisher's clock is 4 s ahead, nothing is under way for any time, and databases were seen 50 ms before.
+    let tell = |router: &mut Subscriber<Desk>, at: u64, sent: u64| {
+        let digest = Message::Digest(said(sent as u32 / 100, sent + 4000, 1));
+        router.message_arrived(ms(at), &control, Incarnation(7), digest);
+        router.known(ms(at), one).map(|word| word.at)
+    };
+    for at in [1100, 1200, 1300] {
+        tell(&mut router, at, at);
+    }
+    router.message_arrived(ms(1310), &control, Incarnation(7), Message::Chunk(chunk(1, 0, 1, &[one])));
+    assert_eq!(tell(&mut router, 1400, 1400), Some(ms(1350)));
+    // It is lost, and followed again with the copy that was kept.
+    let lost = (1450..5000).step_by(50).find(|at| {
+        router.timer_fired(ms(*at));
+        !router.follows(&control)
+    });
+    let again = (lost.unwrap() + 50..9000).step_by(50).find(|at| {
+        router.timer_fired(ms(*at));
+        router.follows(&control)
+    });
+    // The router then stands still, and reads all that has come meanwhile at one moment, in haste or not.
+    let from = again.unwrap().next_multiple_of(100);
+    let now = from + 1300;
+    for sent in (from..now).step_by(100) {
+        let at = tell(&mut router, now, sent).unwrap();
+        assert!(at <= ms(sent - 50), "sent at {sent}, read at {now}, dated {at:?}");
+    }
+    // One more stall, in which less comes together.
+    for sent in (now..=now + 300).step_by(100) {
+        let at = tell(&mut router, now + 300, sent).unwrap();
+        assert!(at <= ms(sent - 50), "sent at {sent}, read at {}, dated {at:?}", now + 300);
+    }
+    let at = tell(&mut router, now + 400, now + 400).unwrap();
+    assert_eq!(at, ms(now + 350), "three that came one by one: it counts");
+}
+
 #[test]
 fn thousands_who_have_reason_to_look_do_not_look_at_once() {
     let mut chance = ChaCha8Rng::seed_from_u64(2);
