Control: what waits in a socket's queue counts as age

A peer's news was dated by its age at the sending, and a digest by the way until it was read, so that what waited in the socket of a process that stood still passed for just seen: news by 400 ms in the test, digests by 200 ms (whole stalls). A control instance that slept below the fleet's limit for having stopped told its queue as fresh. The system now notes when a datagram comes (SO_TIMESTAMP), and the wait until it is read counts: Letter::waited, Message::waited. When the queue was last seen empty bounds it, and stands for it where the clock was set.

The random world judges by the ways as drawn, no more by when a stopped router read; it hands over as the socket's owner does, and keeps evidence for publishers that stand still.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -141,8 +141,8 @@
     /// Takes letters as long as the process runs.
     pub async fn listen(self: Rc<Self>) {
         let own = || self.fleet.borrow().members().me().life.incarnation;
-        let take = |_: SocketAddr, letter: Letter| {
-            self.call(|fleet, now| fleet.letter_arrived(now, letter));
+        let take = |_: SocketAddr, waited: Duration, letter: Letter| {
+            self.call(|fleet, now| fleet.letter_arrived(now, letter.waited(waited)));
         };
         self.post.listen(own, take).await;
     }
--- a/crates/control/src/post.rs
+++ b/crates/control/src/post.rs
@@ -3,13 +3,14 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use quillpoint_datagram::keys::Keyring;
 use quillpoint_datagram::{LONGEST, Opener, Payload, Refusal, Sealer};
 use quillpoint_fleet::Incarnation;
 
 use crate::seldom::Seldom;
-use crate::wire::{Traffic, Wire};
+use crate::wire::{Arrival, Traffic, Wire};
 
 /// What has passed since the start.
 #[derive(Clone, Debug, Default)]
@@ -79,13 +80,14 @@
         }
     }
 
-    /// Takes what comes as long as the process runs. `own` is the start of this process by now.
-    pub async fn listen(&self, own: impl Fn() -> Incarnation, take: impl Fn(SocketAddr, P)) {
+    /// Takes what comes as long as the process runs, with how long it has waited in the socket. `own` is the start of
+    /// this process by now.
+    pub async fn listen(&self, own: impl Fn() -> Incarnation, take: impl Fn(SocketAddr, Duration, P)) {
         let mut bytes = [0; LONGEST + 1];
         loop {
-            let (length, from) = self.wire.read(&mut bytes).await;
+            let Arrival { length, from, waited } = self.wire.read(&mut bytes).await;
             if let Some(payload) = self.opened(own(), &bytes[..length]) {
-                take(from, payload);
+                take(from, waited, payload);
             }
         }
     }
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -66,7 +66,7 @@
 
     /// Takes what routers say as long as the process runs.
     pub async fn listen(self: Rc<Self>) {
-        let take = |from: SocketAddr, envelope: Envelope| {
+        let take = |from: SocketAddr, _: Duration, envelope: Envelope| {
             let Envelope { from: who, start, message } = envelope;
             self.call(|publisher, now| publisher.message_arrived(now, from, &who, start, message));
         };
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -93,8 +93,9 @@
 
     /// Takes what control instances say as long as the process runs.
     pub async fn listen(self: Rc<Self>) {
-        let take = |_: SocketAddr, envelope: Envelope| {
+        let take = |_: SocketAddr, waited: Duration, envelope: Envelope| {
             let Envelope { from, start, message } = envelope;
+            let Some(message) = message.waited(waited) else { return };
             let digest = matches!(message, Message::Digest(_));
             self.call(|subscriber, now| subscriber.message_arrived(now, &from, start, message));
             if digest {
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -1,13 +1,18 @@
 //! A control side's socket: all that it sends and reads passes here, and is counted here.
 
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSliceMut};
 use std::net::{SocketAddr, UdpSocket};
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use nix::errno::Errno;
+use nix::sys::socket::sockopt::ReceiveTimestamp;
+use nix::sys::socket::{ControlMessageOwned, MsgFlags, SockaddrStorage, recvmsg, setsockopt};
+use nix::sys::time::{TimeVal, TimeValLike};
 
 use crate::around::Around;
 
@@ -44,11 +49,21 @@
     in_a_row: u32,
 }
 
+/// A datagram that has been read.
+pub struct Arrival {
+    pub length: usize,
+    pub from: SocketAddr,
+    /// How long it had waited in the socket's queue.
+    pub waited: Duration,
+}
+
 pub struct Wire {
     socket: Async<UdpSocket>,
     around: Rc<dyn Around>,
     /// Datagrams looked at a second.
     a_second: u64,
+    /// When the queue was last seen empty: nothing in it has waited since before then.
+    empty: Cell<Instant>,
     pace: RefCell<Pace>,
     traffic: Cell<Traffic>,
 }
@@ -58,8 +73,11 @@
     /// The address cannot be had.
     pub fn bind(listen: SocketAddr, around: Rc<dyn Around>, a_second: u64) -> io::Result<Self> {
         let socket = Async::<UdpSocket>::bind(listen)?;
+        // The system notes when each datagram comes. By when it is read nobody could tell.
+        setsockopt(socket.get_ref(), ReceiveTimestamp, &true)?;
+        let empty = Cell::new(Instant::now());
         let pace = RefCell::new(Pace { since: Instant::now(), looked_at: 0, in_a_row: 0 });
-        Ok(Self { socket, around, a_second, pace, traffic: Cell::default() })
+        Ok(Self { socket, around, a_second, empty, pace, traffic: Cell::default() })
     }
 
     /// # Errors
@@ -86,17 +104,17 @@
         Ok(())
     }
 
-    /// The next datagram: its length, and where it is from. A flood gets no more than its share of the thread.
-    pub async fn read(&self, bytes: &mut [u8]) -> (usize, SocketAddr) {
+    /// The next datagram. A flood gets no more than its share of the thread.
+    pub async fn read(&self, bytes: &mut [u8]) -> Arrival {
         loop {
             self.keep_pace().await;
-            match self.socket.recv_from(bytes).await {
-                Ok((_, from)) if !self.around.reaches(from) => {}
-                Ok((length, from)) => {
+            match self.socket.read_with(|socket| self.receive(socket, bytes)).await {
+                Ok(Arrival { from, .. }) if !self.around.reaches(from) => {}
+                Ok(arrival) => {
                     let traffic = self.traffic.get();
-                    let (read, read_bytes) = (traffic.read + 1, traffic.read_bytes + length as u64);
+                    let (read, read_bytes) = (traffic.read + 1, traffic.read_bytes + arrival.length as u64);
                     self.traffic.set(Traffic { read, read_bytes, ..traffic });
-                    return (length, from);
+                    return arrival;
                 }
                 Err(error) => {
                     log::debug!("datagrams: {error}");
@@ -106,6 +124,33 @@
         }
     }
 
+    /// One look at the queue.
+    fn receive(&self, socket: &UdpSocket, bytes: &mut [u8]) -> io::Result<Arrival> {
+        let mut notes = nix::cmsg_space!(TimeVal);
+        let mut into = [IoSliceMut::new(bytes)];
+        let read =
+            recvmsg::<SockaddrStorage>(socket.as_raw_fd(), &mut into, Some(&mut notes), MsgFlags::empty());
+        let read = match read {
+            Err(Errno::EAGAIN) => {
+                self.empty.set(Instant::now());
+                return Err(io::ErrorKind::WouldBlock.into());
+            }
+            read => read?,
+        };
+        let from = read.address.as_ref().and_then(address).ok_or(io::ErrorKind::InvalidData)?;
+        let came = read.cmsgs()?.find_map(|note| match note {
+            ControlMessageOwned::ScmTimestamp(came) => {
+                let micros = u64::try_from(came.num_microseconds()).ok()?;
+                Some(SystemTime::UNIX_EPOCH + Duration::from_micros(micros))
+            }
+            _ => None,
+        });
+        // A clock that was set meanwhile says nothing, and one that says too much is not believed.
+        let most = self.empty.get().elapsed();
+        let waited = came.and_then(|came| came.elapsed().ok()).map_or(most, |waited| waited.min(most));
+        Ok(Arrival { length: read.bytes, from, waited })
+    }
+
     /// Before each read but the first.
     async fn keep_pace(&self) {
         let (gives_way, pauses) = {
@@ -136,3 +181,8 @@
         self.traffic.get()
     }
 }
+
+fn address(of: &SockaddrStorage) -> Option<SocketAddr> {
+    let four = of.as_sockaddr_in().map(|four| SocketAddr::V4((*four).into()));
+    four.or_else(|| of.as_sockaddr_in6().map(|six| SocketAddr::V6((*six).into())))
+}
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -111,6 +111,18 @@
     pub alike: Vec<(Entry, Vec<SocketAddr>)>,
 }
 
+/// What has waited longer than this is worth nothing.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+impl Digest {
+    /// It has waited for so long in the receiver's own socket: as though sent so much later, and as much older. `None`
+    /// where it is worth nothing any more.
+    pub fn waited(self, span: Duration) -> Option<Self> {
+        let (sent, age) = (self.sent.saturating_add(span), self.age.saturating_add(span));
+        (span <= LONGEST_WAIT).then_some(Self { sent, age, ..self })
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// From a router: send me digests from now on, for a while. Said again and again; it does no more than ask, and is
@@ -128,6 +140,16 @@
     Leaving,
 }
 
+impl Message {
+    /// As it is worth after so long in the receiver's own socket, where it is worth anything.
+    pub fn waited(self, span: Duration) -> Option<Self> {
+        match self {
+            Self::Digest(digest) => digest.waited(span).map(Self::Digest),
+            other => Some(other),
+        }
+    }
+}
+
 /// A message with whom it is from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Envelope {
--- a/crates/feed/tests/world/mod.rs
+++ b/crates/feed/tests/world/mod.rs
@@ -122,6 +122,8 @@
     start: Incarnation,
     stopped: bool,
     waiting: VecDeque<Parcel>,
+    /// What its fleet has sent it meanwhile, dated when it was seen.
+    unheard: Vec<Evidence>,
     timer_due: bool,
 }
 
@@ -134,7 +136,8 @@
     pub subscribes: BTreeMap<u64, u64>,
 }
 
-/// How fresh digests of a publisher may have made what a router knows: the shortest of their ways, by the rule.
+/// How fresh digests of a publisher may have made what a router knows: the shortest of their ways as they were drawn,
+/// by the rule. How long they then wait until the router reads them makes nothing fresher.
 #[derive(Clone, Copy)]
 struct Way {
     start: Incarnation,
@@ -162,13 +165,14 @@
     RouterTimer { place: usize, life: u64 },
 }
 
-/// A message under way, and when it was sent.
+/// A message under way, when it was sent, and when it comes: read it may be much later.
 #[derive(Clone)]
 struct Parcel {
     from: PeerName,
     address: SocketAddr,
     start: Incarnation,
     sent: Duration,
+    comes: Duration,
     message: Message,
 }
 
@@ -361,8 +365,12 @@
     }
 
     pub fn go_on_publisher(&mut self, place: usize) {
+        let now = self.now + self.publishers[place].ahead;
         let Some(process) = &mut self.publishers[place].process else { return };
         process.stopped = false;
+        std::mem::take(&mut process.unheard)
+            .into_iter()
+            .for_each(|evidence| process.side.seen(now, evidence));
         let (waiting, timer) = (std::mem::take(&mut process.waiting), std::mem::take(&mut process.timer_due));
         waiting.into_iter().for_each(|parcel| self.publisher_message(place, parcel));
         if timer {
@@ -474,10 +482,11 @@
             Due::Evidence { to, evidence } => {
                 let now = self.now + self.publishers[to].ahead;
                 let at = evidence.at + self.publishers[to].ahead;
-                if let Some(process) = &mut self.publishers[to].process
-                    && !process.stopped
-                {
-                    process.side.seen(now, Evidence { at, ..evidence });
+                if let Some(process) = &mut self.publishers[to].process {
+                    match process.stopped {
+                        false => process.side.seen(now, Evidence { at, ..evidence }),
+                        true => process.unheard.push(Evidence { at, ..evidence }),
+                    }
                 }
             }
             Due::ToPublisher { place, life, parcel } if self.publishers[place].life == life => {
@@ -574,10 +583,12 @@
             process.waiting.push_back(parcel);
             return;
         }
-        let Parcel { from, start, sent, message, .. } = parcel;
+        let Parcel { from, start, sent, comes, message, .. } = parcel;
+        // What the socket's owner does.
+        let Some(message) = message.waited(self.now.saturating_sub(comes)) else { return };
         if matches!(message, Message::Digest(_)) && process.side.follows(&from) {
             let by: usize = from.as_str().strip_prefix("control-").unwrap().parse().unwrap();
-            note_way(&mut self.ways, (place, by), start, self.now, self.now.saturating_sub(sent));
+            note_way(&mut self.ways, (place, by), start, self.now, comes.saturating_sub(sent));
         }
         process.side.message_arrived(now, &from, start, message);
         self.carry_router(place);
@@ -599,6 +610,7 @@
                 address: publisher_address(place),
                 start,
                 sent: now,
+                comes: now,
                 message,
             };
             count(&mut self.publishers[place].costs, now, &parcel);
@@ -614,7 +626,7 @@
             }
             let life = self.routers[router].life;
             for after in self.arrivals() {
-                let parcel = parcel.clone();
+                let parcel = Parcel { comes: now + after, ..parcel.clone() };
                 self.enter(now + after, Due::ToRouter { place: router, life, parcel });
             }
         }
@@ -647,6 +659,7 @@
                 address: router_address(place),
                 start,
                 sent: now,
+                comes: now,
                 message,
             };
             count(&mut self.routers[place].costs, now, &parcel);
@@ -657,7 +670,7 @@
             }
             let life = self.publishers[by].life;
             for after in self.arrivals() {
-                let parcel = parcel.clone();
+                let parcel = Parcel { comes: now + after, ..parcel.clone() };
                 self.enter(now + after, Due::ToPublisher { place: by, life, parcel });
             }
         }
@@ -780,7 +793,15 @@
 }
 
 fn process<T>(side: T, desk: Desk, start: Incarnation) -> Process<T> {
-    Process { side, desk, start, stopped: false, waiting: VecDeque::new(), timer_due: false }
+    Process {
+        side,
+        desk,
+        start,
+        stopped: false,
+        waiting: VecDeque::new(),
+        unheard: Vec::new(),
+        timer_due: false,
+    }
 }
 
 fn tenth(now: Duration) -> u64 {
--- a/crates/fleet/src/letter.rs
+++ b/crates/fleet/src/letter.rs
@@ -83,3 +83,13 @@
     pub body: Body,
     pub cards: Vec<Card>,
 }
+
+impl Letter {
+    /// It has waited for so long in the receiver's own socket: what it tells is as much older.
+    pub fn waited(mut self, span: Duration) -> Self {
+        if let Body::News(news) = &mut self.body {
+            news.iter_mut().for_each(|news| news.age = news.age.saturating_add(span));
+        }
+        self
+    }
+}
