Tests: a cancel and the end of a router with several statements in line

Both were read and not tested. A cancel ends the first statement that has no answer, and what is behind it goes on; a router that is told to stop answers all twenty that are in line and behind it, whether the node answers or not.

--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -113,6 +113,21 @@
     assert_eq!(client.rpc("look", 9000), ok());
 }
 
+#[test]
+fn a_cancel_ends_the_statement_that_its_client_waits_for_and_none_behind_it() {
+    let (primary, replica, router, _discovery) = pair(&[], 200);
+    let (mut client, key) = keyed(router.address);
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Waits));
+    let all = [statement("enter", 9000), statement("look", 9000), statement("look", 9000)];
+    client.send(&all.iter().flat_map(|text| pg::query(text.as_bytes())).collect::<Vec<u8>>());
+    primary.await_queries(1);
+    cancel(router.address, &key);
+    assert_eq!(client.reply(), error("57014"));
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Answers));
+    assert_eq!((client.reply(), client.reply()), (ok(), ok()), "what was asked behind it goes on");
+    assert_eq!(client.rpc("look", 9000), ok());
+}
+
 #[test]
 fn an_rpc_that_was_cancelled_while_its_connection_came_up_is_not_sent() {
     let (_, replica, router, _discovery) = pair(&[], 200);
--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -305,3 +305,35 @@
     assert!(high("buffers_statements_high") <= (SIDE_BY_SIDE + 1) * longest.max(200), "{line}");
     assert!(router.ended().success());
 }
+
+#[test]
+fn all_in_line_are_answered_before_a_router_that_was_told_to_stop_has_ended() {
+    // It is killed 0.7 s after the longest deadline. With the node's answers all have run by then, without them none
+    // is kept waiting for its turn.
+    for answers in [true, false] {
+        let (primary, _, mut router, _discovery) = group(1, &[("9000.0", "2500.0")]);
+        primary.set(Does::Waits);
+        let mut client = router.client();
+        let all: Vec<String> = (0..20).map(|place| of(&format!("k{place}"), "enter", 2500)).collect();
+        send_all(&mut client, &all);
+        primary.await_queries(1);
+        router.signal("-TERM");
+        if answers {
+            router.await_line("told to stop");
+            primary.set(Does::Answers);
+        }
+        let replies: Vec<Reply> = all.iter().map(|_| client.reply()).collect();
+        match answers {
+            true => assert!(replies.iter().all(|reply| *reply == ok()), "{replies:?}"),
+            false => assert!(
+                matches!(&replies[0], Reply::Error(code, _) if code == "57014")
+                    && replies[1..]
+                        .iter()
+                        .all(|reply| matches!(reply, Reply::Error(code, _) if code == "53300")),
+                "{replies:?}"
+            ),
+        }
+        // The client stays on.
+        assert!(router.ended().success());
+    }
+}
