An attempt that was ordered and that nobody makes any more ends with its RPC

Cause, found while a test was written for the turn in which a client hangs up between an order and its first byte: the attempt ends as not sent, the module orders the next one at once, and the RPC's task is dropped with that order unread in its mailbox (client.rs, `Owed`). Its end was never told. The module counted it as on its way for as long as it might have lasted, its node as one whose answers stay away, and kept a node that is gone for good.

Change: `Owed` is the engine's, and what `rpc_arrived` returns; dropped, it ends the RPC and what is left in its mailbox, at one place. told.rs asks through it and asserts what it did.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -13,7 +13,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 
-use quillpoint::host::{MethodId, Outcome, RpcId};
+use quillpoint::host::{MethodId, Outcome};
 use quillpoint_accounts::{Pace, Progress, Purpose, Relief};
 
 use crate::budget::{Accounts, Exhausted};
@@ -582,19 +582,6 @@
 /// A statement that cannot be used.
 struct Unusable;
 
-/// An RPC that is under way: one that is dropped without its final answer has no client any more.
-struct Owed {
-    engine: Rc<Engine>,
-    rpc: RpcId,
-}
-
-impl Drop for Owed {
-    fn drop(&mut self) {
-        // Nothing comes of it where the RPC has had its final answer.
-        self.engine.client_left(self.rpc);
-    }
-}
-
 impl Clients {
     /// The life of an RPC: from its turn, which comes at once where nothing ahead of it on its connection must end
     /// first, to its answer. Its time runs since it arrived.
@@ -616,24 +603,23 @@
         }
         let session = statement.session.map(|key| (statement.group, key));
         let known = session.and_then(|session| written.borrow().last(session));
-        let Some((rpc, orders)) = engine.rpc_arrived(method, statement, arrived, known) else {
+        let Some(owed) = engine.rpc_arrived(method, statement, arrived, known) else {
             pg::put_error(&mut out, false, "53300", "its time was over before its turn: nothing ran", None);
             return self.ready(out);
         };
-        let _owed = Owed { engine: Rc::clone(engine), rpc };
         loop {
-            match orders.recv().await {
-                Ok(Order::Attempt(attempt)) => {
+            match owed.order().await {
+                Some(Order::Attempt(attempt)) => {
                     self.pool.attempt(Rc::clone(engine), attempt, Rc::clone(&kept));
                     continue;
                 }
-                Ok(Order::Answer(answer, position)) => {
+                Some(Order::Answer(answer, position)) => {
                     if let Some((session, commit)) = session.zip(position).filter(|_| statement.writes) {
                         written.borrow_mut().note(session, commit);
                     }
                     pg::put_answer(&mut out, &answer);
                 }
-                Ok(Order::PushBack(retry_after)) => {
+                Some(Order::PushBack(retry_after)) => {
                     let ms = retry_after.as_millis().to_string();
                     let detail = (!retry_after.is_zero()).then_some(ms.as_str());
                     pg::put_error(
@@ -644,12 +630,12 @@
                         detail,
                     );
                 }
-                Ok(Order::Abort(last)) => {
+                Some(Order::Abort(last)) => {
                     let (code, message) = cause(last);
                     pg::put_error(&mut out, false, code, message, None);
                 }
                 // The engine gives each RPC that it holds its final answer.
-                Err(_) => return future::pending().await,
+                None => return future::pending().await,
             }
             return self.ready(out);
         }
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -191,6 +191,39 @@
     }
 }
 
+/// An RPC that is under way: one that is dropped without its final answer has no client any more.
+pub struct Owed {
+    engine: Rc<Engine>,
+    rpc: RpcId,
+    orders: Receiver<Order>,
+}
+
+impl Owed {
+    /// The next order. None comes behind the final answer.
+    pub async fn order(&self) -> Option<Order> {
+        self.orders.recv().await.ok()
+    }
+
+    /// What has been ordered by now.
+    pub fn ordered(&self) -> Option<Order> {
+        self.orders.try_recv().ok()
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        // Nothing comes of it where the RPC has had its final answer.
+        self.engine.client_left(self.rpc);
+        // An attempt that was ordered and that nobody makes any more has ended too: the module would count it as on
+        // its way, and its node as one that does not answer.
+        while let Some(order) = self.ordered() {
+            if let Order::Attempt(attempt) = order {
+                self.engine.call_ended(attempt, Outcome::NotSent, Heard::default());
+            }
+        }
+    }
+}
+
 /// What this side needs to know of a method.
 struct Known {
     name: String,
@@ -403,15 +436,15 @@
         self.tell(|router, now| router.ends_by(now, end));
     }
 
-    /// The RPC's id, and where its orders arrive. None where its time is over, which runs from when its last byte
+    /// The RPC, as long as its client waits for it. None where its time is over, which runs from when its last byte
     /// came. `written` is the last commit that its connection knows of for its session.
     pub fn rpc_arrived(
-        &self,
+        self: &Rc<Self>,
         method: MethodId,
         statement: &Statement,
         arrived: Instant,
         written: Option<Duration>,
-    ) -> Option<(RpcId, Receiver<Order>)> {
+    ) -> Option<Owed> {
         let now = self.clock.now();
         let known = &self.methods[method.0];
         let left = self.ends.get().map_or(Duration::MAX, |end| end.saturating_sub(now));
@@ -443,10 +476,10 @@
             };
             router.rpc_arrived(now, rpc);
         });
-        Some((id, orders))
+        Some(Owed { engine: Rc::clone(self), rpc: id, orders })
     }
 
-    pub fn client_left(&self, rpc: RpcId) {
+    fn client_left(&self, rpc: RpcId) {
         if self.desk.remove(rpc).is_some() {
             self.tell(|router, _| router.client_left(rpc));
         }
--- a/crates/router/tests/told.rs
+++ b/crates/router/tests/told.rs
@@ -6,12 +6,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::Receiver;
-use quillpoint::host::{Condition, Extent, GroupId, Listed, MethodId, NodeId, PeerWord, RpcId, ZoneId};
+use quillpoint::host::{Condition, Extent, GroupId, Listed, MethodId, NodeId, PeerWord, ZoneId};
 use quillpoint_control::Around;
 use quillpoint_feed::Word;
 use quillpoint_router::deployment::Deployment;
-use quillpoint_router::engine::{Clock, Engine, Finding, Order, Sharing, Work};
+use quillpoint_router::engine::{Clock, Engine, Finding, Order, Owed, Sharing, Work};
 use quillpoint_router::statement::Statement;
 use serde_json::json;
 
@@ -81,7 +80,7 @@
 }
 
 /// An RPC for a group that has just come.
-fn arrive(engine: &Engine, group: u64) -> (RpcId, Receiver<Order>) {
+fn arrive(engine: &Rc<Engine>, group: u64) -> Owed {
     engine.rpc_arrived(MethodId(0), &statement(group), Instant::now(), None).unwrap()
 }
 
@@ -93,9 +92,9 @@
 fn the_nodes_of_a_group_are_told_of_right_before_its_rpc_and_no_others() {
     let (engine, _work, teller) = engine();
     teller.has_news.set(true);
-    let (_, orders) = arrive(&engine, 1);
+    let owed = arrive(&engine, 1);
     assert_eq!(asked(&teller), [node(1, 0), node(1, 1)]);
-    let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word at once") };
+    let Some(Order::Attempt(attempt)) = owed.ordered() else { panic!("it is sent on their word at once") };
     assert!([node(1, 0), node(1, 1)].contains(&attempt.node));
     // A group that is not known has no nodes.
     arrive(&engine, 9);
@@ -107,18 +106,17 @@
     let (engine, _work, teller) = engine();
     engine.refreshed();
     assert_eq!(asked(&teller), [], "nothing is held");
-    let (_, orders) = arrive(&engine, 2);
-    assert!(orders.try_recv().is_err(), "nobody says that any replica is up to date");
+    let owed = arrive(&engine, 2);
+    assert!(owed.ordered().is_none(), "nobody says that any replica is up to date");
     asked(&teller);
     engine.refreshed();
     assert_eq!(asked(&teller), [node(2, 0), node(2, 1)]);
-    assert!(orders.try_recv().is_err());
+    assert!(owed.ordered().is_none());
     teller.has_news.set(true);
     engine.refreshed();
-    assert!(matches!(orders.try_recv(), Ok(Order::Attempt(_))));
+    assert!(matches!(owed.ordered(), Some(Order::Attempt(_))));
     // One that has ended is not held any more.
-    let (rpc, _orders) = arrive(&engine, 0);
-    engine.client_left(rpc);
+    drop(arrive(&engine, 0));
     asked(&teller);
     engine.refreshed();
     assert_eq!(asked(&teller), [node(2, 0), node(2, 1)], "the one that is out may need another attempt");
@@ -138,25 +136,25 @@
 fn a_position_that_is_told_lets_a_read_try_and_its_answer_decides() {
     let (engine, _work, teller) = engine();
     teller.has_news.set(true);
-    let (_, orders) = arrive(&engine, 1);
-    let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word") };
+    let owed = arrive(&engine, 1);
+    let Some(Order::Attempt(attempt)) = owed.ordered() else { panic!("it is sent on their word") };
     let other = if attempt.node == node(1, 0) { node(1, 1) } else { node(1, 0) };
     assert!(engine.may_begin(&attempt));
     let stale = engine.clock.now() - Duration::from_secs(5);
     engine.call_ended(attempt, quillpoint::host::Outcome::Ok, heard(Some(stale)));
     // No answer to the client: another replica is tried.
-    let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("a further attempt") };
+    let Some(Order::Attempt(attempt)) = owed.ordered() else { panic!("a further attempt") };
     assert_eq!(attempt.node, other);
     assert!(engine.may_begin(&attempt));
     // An answer that shows no position at all proves nothing either.
     engine.call_ended(attempt, quillpoint::host::Outcome::Ok, heard(None));
-    assert!(!matches!(orders.try_recv(), Ok(Order::Answer(..))));
+    assert!(!matches!(owed.ordered(), Some(Order::Answer(..))));
     // One that shows what is needed goes to the client.
-    let (_, orders) = arrive(&engine, 0);
-    let Ok(Order::Attempt(attempt)) = orders.try_recv() else { panic!("it is sent on their word") };
+    let owed = arrive(&engine, 0);
+    let Some(Order::Attempt(attempt)) = owed.ordered() else { panic!("it is sent on their word") };
     assert!(engine.may_begin(&attempt));
     engine.call_ended(attempt, quillpoint::host::Outcome::Ok, heard(Some(engine.clock.now())));
-    assert!(matches!(orders.try_recv(), Ok(Order::Answer(..))));
+    assert!(matches!(owed.ordered(), Some(Order::Answer(..))));
 }
 
 fn heard(position: Option<Duration>) -> quillpoint_router::engine::Heard {
