--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -94,6 +94,8 @@
     /// Attempts that wait, the first come first. Each has a connection of its own being opened, but takes
     /// whichever comes first.
     waiting: VecDeque<Sender<Lent>>,
+    /// Connections that are being opened in their time: no fewer than attempts that wait.
+    dials: usize,
     /// Whether it was last found out of reach, as the log has it.
     out_of_reach: bool,
     told: Seldom,
@@ -172,7 +174,7 @@
             self.nodes.borrow_mut().retain(|_, node| {
                 node.idle.retain(|idle| idle.since.elapsed() < self.idle_time);
                 let asked = node.asked.is_some_and(|asked| asked.elapsed() < self.idle_time * KEPT);
-                asked || !node.idle.is_empty() || !node.waiting.is_empty()
+                asked || !node.idle.is_empty() || node.dials > 0
             });
         }
     }
@@ -355,22 +357,24 @@
         let open = async move {
             // A shortage of sockets here is no fault of the node's, so that its time runs from then on.
             let slot = pool.descriptors.take().await;
-            if !pool.is_awaited(node) {
-                return;
+            if pool.awaited(node) == 0 {
+                return pool.dial_ended(node);
             }
             // It goes on when its attempt has ended: what has been paid for serves the next.
             let mut dial = pin!(Link::open(node, slot, &pool.accounts));
             let late = at(Instant::now() + pool.connect_time_out, Err(Fault::Late));
             match dial.as_mut().or(late).await {
-                Ok(link) if link.is_quiet() => pool.give_back(node, link),
-                Ok(_) => {
-                    // More than a greeting came, so nothing that follows could be told apart from an answer.
-                    log::debug!("{}: no connection: it says more than it was asked", node.0);
-                    pool.hand_out(node, Err(Outcome::ConnectFailed));
+                Ok(link) => {
+                    if !link.is_quiet() {
+                        // More than a greeting came: nothing that follows could be told apart from an answer.
+                        log::debug!("{}: no connection: it says more than it was asked", node.0);
+                    }
+                    pool.give_back(node, link);
+                    pool.dial_ended(node);
                 }
                 Err(fault) => {
                     log::debug!("{}: no connection: {fault}", node.0);
-                    pool.hand_out(node, Err(Outcome::ConnectFailed));
+                    pool.dial_ended(node);
                     if matches!(fault, Fault::Late) {
                         pool.await_late(node, dial).await;
                     }
@@ -401,13 +405,29 @@
         let entry = nodes.entry(node).or_default();
         entry.asked = Some(Instant::now());
         entry.waiting.push_back(lender);
+        entry.dials += 1;
     }
 
-    fn is_awaited(&self, node: NodeId) -> bool {
+    /// How many attempts wait for a connection.
+    fn awaited(&self, node: NodeId) -> usize {
         let mut nodes = self.nodes.borrow_mut();
         let waiting = &mut nodes.entry(node).or_default().waiting;
         waiting.retain(|waiting| !waiting.is_closed());
-        !waiting.is_empty()
+        waiting.len()
+    }
+
+    /// A dial has come to its end, or to that of its time. Its failure is told to an attempt that no dial is left for,
+    /// and to no other: one that came later has a dial with a time of its own.
+    fn dial_ended(&self, node: NodeId) {
+        let left = {
+            let mut nodes = self.nodes.borrow_mut();
+            let dials = &mut nodes.entry(node).or_default().dials;
+            *dials -= 1;
+            *dials
+        };
+        if self.awaited(node) > left {
+            self.hand_out(node, Err(Outcome::ConnectFailed));
+        }
     }
 
     /// To the first that still waits; what nobody waited for comes back.
--- a/crates/router/tests/lending.rs
+++ b/crates/router/tests/lending.rs
@@ -20,7 +20,7 @@
 use quillpoint_router::pool::Pool;
 use quillpoint_router::presence::{Presence, has_hung_up};
 use quillpoint_router::statement::{Kept, Statement};
-use standin::{Discovery, Node, VALUE, configuration, count, statement, targets};
+use standin::{Discovery, Greets, Node, VALUE, configuration, count, statement, targets};
 
 /// Far longer than anything here takes.
 const NEVER: Duration = Duration::from_secs(30);
@@ -175,3 +175,27 @@
         assert_eq!(node.queries().len(), 1);
     });
 }
+
+#[test]
+fn a_dial_that_is_over_its_time_fells_no_attempt_that_came_later() {
+    let node = Node::start(true);
+    node.greets(Greets::Hangs);
+    let connect = Duration::from_millis(1000);
+    run(async |executor| {
+        let parts =
+            Parts::of(&executor, &node, &[("\"ConnectTimeoutMs\":5000.0", "\"ConnectTimeoutMs\":1000.0")]);
+        // Its own time ends long before that of the dial that was begun for it.
+        let first = parts.ask();
+        let attempt = first.attempt();
+        let until = attempt.at + connect / 10;
+        parts.make(&first, Attempt { until, ..attempt }).await;
+        drop(first);
+        Timer::after(connect / 4).await;
+        // The next one has a dial with a time of its own.
+        let second = parts.ask();
+        let (attempt, began) = (second.attempt(), Instant::now());
+        parts.make(&second, attempt).await;
+        assert!(began.elapsed() >= connect, "felled after {:?}", began.elapsed());
+        assert_eq!(count(&node.connections), 2);
+    });
+}
