Scale runs: the cut parts control instances and real routers too; each bound has a test

Change: in a run with `cut`, real processes reach the other half through relays of datagrams: one before each control instance for its fleet, a passage for each real router and far control instance. For 30 s all of them lose what goes from half to half, without a word, as hollow routers do. Not a cut for discovery and databases: all connections come from 127.0.0.1 with the same startup, so that nothing at a database's socket tells whose they are (keys changed by SIGHUP were the other way weighed: datagrams would be refused with a sound, not lost). Looked at: ages on each side while cut, when each control instance shares duties with all again, a primary changed in the middle and one at healing; cut_missing breaks where a control instance was never alone with its half. Bounds: agree_max_s 5 s in place of follow_max_s, which it contains; cut_age_max_s 1 s, as after the death of a control instance; real_follow_max_s 3 s after a restart.

Tests: a border on sockets loses what it must and nothing else; who was cut and when they agree; every bound at its limit and just over it, for each fault.

--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -1,7 +1,9 @@
-//! A relay of datagrams before a router: it loses what comes from some, or a part of all.
+//! Relays of datagrams: one before a router, which loses what comes from some, or a part of all; and a passage between
+//! two processes of which only one is told the other's place, which may be closed.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
@@ -47,3 +49,37 @@
         self.losses.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 }
+
+/// What the one sends here goes to the other, and what the other answers goes to the one.
+pub struct Passage {
+    /// Where the one sends to, in the other's place.
+    pub address: SocketAddr,
+    closed: Arc<AtomicBool>,
+}
+
+impl Passage {
+    /// # Errors
+    /// There is no address to be had.
+    pub fn between(one: SocketAddr, other: SocketAddr) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let passage = Self { address: socket.local_addr()?, closed: Arc::default() };
+        let closed = Arc::clone(&passage.closed);
+        thread::spawn(move || {
+            let mut bytes = [0; 2048];
+            loop {
+                // One that is down refuses what is sent to it, of which the socket tells: that is loss, and no end.
+                let Ok((length, from)) = socket.recv_from(&mut bytes) else { continue };
+                let to = if from == one { other } else { one };
+                if (from == one || from == other) && !closed.load(Ordering::SeqCst) {
+                    _ = socket.send_to(&bytes[..length], to);
+                }
+            }
+        });
+        Ok(passage)
+    }
+
+    /// From now on all that comes is lost, either way; or nothing any more.
+    pub fn close(&self, closed: bool) {
+        self.closed.store(closed, Ordering::SeqCst);
+    }
+}
--- a/crates/rig/src/scale/bounds.rs
+++ b/crates/rig/src/scale/bounds.rs
@@ -17,9 +17,12 @@
 const USUAL_PERIOD_S: f64 = 0.15;
 /// A changed primary is known to all, after the first probe that saw it.
 const CHANGE_KNOWN_S: f64 = 1.0;
-/// All follow again after a restart, and after two halves were cut from each other.
+/// All follow again after a restart, hollow and real; and all agree after two halves were cut from each other.
 const FOLLOW_RESTART_S: f64 = 3.0;
-const FOLLOW_CUT_S: f64 = 5.0;
+const AGREE_CUT_S: f64 = 5.0;
+/// Each half of a cut goes on: what is known there is no older than after the death of a control instance, as its half
+/// has lost the other's.
+const CUT_AGE_S: f64 = KILLED_AGE_S;
 /// A control instance's peak beside its calm.
 const PEAK_TIMES: f64 = 5.0;
 /// Nobody's age when a control instance is killed.
@@ -52,9 +55,18 @@
     }
     match fault {
         Some(Fault::Restart | Fault::Primary) => {
-            most.extend([("follow_max_s", FOLLOW_RESTART_S), ("peak_control_times", PEAK_TIMES)]);
+            most.extend([
+                ("follow_max_s", FOLLOW_RESTART_S),
+                ("real_follow_max_s", FOLLOW_RESTART_S),
+                ("peak_control_times", PEAK_TIMES),
+            ]);
+        }
+        Some(Fault::Cut) => {
+            most.push(("agree_max_s", AGREE_CUT_S));
+            if sizes.period_s <= USUAL_PERIOD_S {
+                most.push(("cut_age_max_s", CUT_AGE_S));
+            }
         }
-        Some(Fault::Cut) => most.push(("follow_max_s", FOLLOW_CUT_S)),
         // A period may pass at its own probing, and one until another's takes over.
         Some(Fault::Control) if sizes.period_s <= USUAL_PERIOD_S => {
             most.push(("fault_age_max_s", KILLED_AGE_S));
--- a/crates/rig/src/scale/crowd.rs
+++ b/crates/rig/src/scale/crowd.rs
@@ -45,7 +45,8 @@
     /// In no order: there are few kinds, and each is looked at once a quarter.
     later: Vec<(Instant, Later)>,
     base_bytes: u64,
-    ages: Histogram<u64>,
+    /// By the routers' sides of a cut.
+    ages: [Histogram<u64>; 2],
     traffic: Vec<u64>,
     peak_quarter: u64,
     quarters: Vec<(u64, u64)>,
@@ -136,7 +137,7 @@
             before: plan.before,
             later: Vec::new(),
             base_bytes: resident(std::process::id()).unwrap_or(0),
-            ages: histogram(),
+            ages: [histogram(), histogram()],
             peak_quarter: 0,
             quarters: Vec::new(),
             unfollowed_us: 0,
@@ -153,7 +154,7 @@
         match order {
             Order::Mark => {
                 (self.peak_quarter, self.unfollowed_us) = (0, 0);
-                self.ages.reset();
+                self.ages.iter_mut().for_each(Histogram::reset);
                 self.quarters.clear();
                 self.promotions.clear();
             }
@@ -208,7 +209,8 @@
             let (ran, ages) = router.ages();
             following += usize::from(ages.iter().all(|age| age.is_some_and(|age| age <= self.follows)));
             // Of what it has never heard of it knows nothing for as long as it runs.
-            ages.into_iter().for_each(|age| note(&mut self.ages, age.unwrap_or(ran)));
+            let all = &mut self.ages[router.side()];
+            ages.into_iter().for_each(|age| note(all, age.unwrap_or(ran)));
         }
         let at = now().as_micros() as u64;
         self.quarters.push((at, all));
@@ -226,7 +228,8 @@
             resident_bytes: resident(std::process::id()).unwrap_or(0),
             following: self.following,
             unfollowed_us: self.unfollowed_us,
-            ages: pairs(&self.ages),
+            ages: self.ages.iter().flat_map(pairs).collect(),
+            ages_by_side: [pairs(&self.ages[0]), pairs(&self.ages[1])],
             peak_quarter: self.peak_quarter,
             quarters: self.quarters.clone(),
             ..CrowdReport::default()
--- a/crates/rig/src/scale/faults.rs
+++ b/crates/rig/src/scale/faults.rs
@@ -25,7 +25,7 @@
     Restart,
     /// A sixth of the routers stopped for three seconds, and continued.
     Stop,
-    /// Two halves cut from each other for half a minute, and healed.
+    /// Two halves cut from each other for half a minute, and healed: routers and control instances, hollow and real.
     Cut,
     /// A control instance killed.
     Control,
@@ -47,6 +47,18 @@
     now.following >= before.following && now.state as f64 >= before.state as f64 * held
 }
 
+/// Whether a control instance that has said these counts of its fleet came to be alone with its half in the time
+/// between.
+pub fn was_cut(duties: &[(u64, u64)], between: (u64, u64), half: u64) -> bool {
+    duties.iter().any(|(at, routers)| (between.0..between.1).contains(at) && *routers == half)
+}
+
+/// When it said for the last time how it shares duties, in seconds after `from_us`, if that was with all.
+pub fn shares_with_all_after(duties: &[(u64, u64)], from_us: u64, all: u64) -> Option<f64> {
+    let (at, routers) = duties.last()?;
+    (*routers == all).then(|| at.saturating_sub(from_us) as f64 / 1e6)
+}
+
 #[derive(Debug, thiserror::Error)]
 #[error("fault: expected restart, stop, cut, control or primary, found {0}")]
 pub struct NoFault(String);
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -213,6 +213,11 @@
         self.running.as_ref().map_or(0, |running| running.control.state_bytes())
     }
 
+    /// On which side of a cut it is.
+    pub fn side(&self) -> usize {
+        usize::from(side(self.listen))
+    }
+
     /// How long it runs, and how old what it knows of its sampled databases is.
     pub fn ages(&self) -> (Duration, Vec<Option<Duration>>) {
         let Some(Running { control, books, .. }) = &self.running else { return Default::default() };
@@ -255,8 +260,11 @@
     }
 }
 
+/// By side.
+pub const REGIONS: [&str; 2] = ["even", "odd"];
+
 pub fn region(address: SocketAddr) -> &'static str {
-    ["even", "odd"][usize::from(side(address))]
+    REGIONS[usize::from(side(address))]
 }
 
 /// Makes the probes that fall to the router, each as a task of its own, which does not keep a killed one's socket.
--- a/crates/rig/src/scale/member.rs
+++ b/crates/rig/src/scale/member.rs
@@ -12,6 +12,7 @@
 use crate::process::{Kept, Process};
 use crate::record::{Mode, Sizes};
 use crate::routers::{Platform, platform};
+use crate::scale::border::Border;
 use crate::scale::counters::Sums;
 use crate::scale::hollow::region;
 
@@ -43,6 +44,8 @@
     /// All routers' addresses, the real ones' first, and all control instances'.
     pub routers: &'a [SocketAddr],
     pub control: &'a [Address],
+    /// Between the halves of a fleet that are to be cut from each other.
+    pub border: Option<&'a Border>,
 }
 
 pub struct Member {
@@ -100,13 +103,20 @@
         Ok(files)
     }
 
+    /// Where a member's fleet reaches it.
+    fn of_fleet(&self, listens: SocketAddr) -> SocketAddr {
+        self.border.map_or(listens, |border| border.of_fleet(listens))
+    }
+
     fn conf(&self, kind: Kind, address: Address) -> String {
         let mut text = "log json\n".to_string();
         let fleet = self.sizes.mode == Mode::Shared || kind == Kind::Control;
         if fleet {
             let (listen, every) = (address.datagrams, (self.sizes.period_s * 1000.0).round());
-            text +=
-                &format!("fleet {{\n    listen {listen}\n    advertise {listen}\n    keys fleet.keys\n}}\n");
+            let advertise = self.of_fleet(listen);
+            text += &format!(
+                "fleet {{\n    listen {listen}\n    advertise {advertise}\n    keys fleet.keys\n}}\n"
+            );
             text += &format!("duty probe {{\n    every {every}ms\n}}\n");
             // All of them twice over, should the others be gone: a budget that is short would be measured instead.
             let all = self.sizes.databases as f64 / self.sizes.period_s;
@@ -114,7 +124,8 @@
                 "    keys fleet.keys\n",
                 &format!("    keys fleet.keys\n    work-budget {}\n", (all * 2.0).ceil().clamp(2000.0, 1e6)),
             );
-            let control: Vec<SocketAddr> = self.control.iter().map(|address| address.datagrams).collect();
+            let of_fleet = |address: &Address| self.of_fleet(address.datagrams);
+            let control: Vec<SocketAddr> = self.control.iter().map(of_fleet).collect();
             let peers = if kind == Kind::Control { &control[..] } else { self.routers };
             for (place, peer) in peers.iter().take(SEEDS).enumerate() {
                 text += &format!("peer p{place} {{\n    address {peer}\n}}\n");
@@ -127,7 +138,8 @@
             text +=
                 &format!("subscribe {{\n    listen {listen}\n    keys feed.keys\n    region {near}\n}}\n");
             for (place, control) in self.control.iter().enumerate() {
-                let (at, region) = (control.feed, region(control.feed));
+                let at = self.border.map_or(control.feed, |border| border.of_feed(listen, control.feed));
+                let region = region(control.feed);
                 text += &format!("control c{place} {{\n    address {at}\n    region {region}\n}}\n");
             }
         }
@@ -249,4 +261,14 @@
         }
         Ok(all)
     }
+
+    /// Among how many it has said that it shares duties, and when: microseconds of Unix time, and their number.
+    pub fn duties(&self) -> Vec<(u64, u64)> {
+        let lines = self.process.as_ref().map(Process::lines).unwrap_or_default();
+        let told = |line: &String| {
+            let line: Json = line.contains("fleet_duties").then(|| serde_json::from_str(line).ok())??;
+            Some((line["time_us"].as_u64()?, line["routers"].as_u64()?))
+        };
+        lines.iter().filter_map(told).collect()
+    }
 }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -6,6 +6,7 @@
 //! figures mean stands in `docs/measurements/README.md`.
 
 pub mod books;
+pub mod border;
 pub mod bounds;
 pub mod calibration;
 pub mod clients;
--- a/crates/rig/src/scale/orders.rs
+++ b/crates/rig/src/scale/orders.rs
@@ -58,7 +58,8 @@
     Promote { rises: SocketAddr, falls: SocketAddr },
     /// To hollow routers: this database became a primary then, in microseconds of Unix time.
     Promoted { node: SocketAddr, at_us: u64 },
-    /// Each router whose place among all hollow ones leaves no rest goes down at once, and starts anew after this time.
+    /// Each router whose place among all hollow ones leaves no rest goes down at once, and starts anew after this
+    /// time.
     Restart { one_in: usize, down_ms: u64 },
     /// Each such router stands still for this time.
     Stop { one_in: usize, ms: u64 },
@@ -109,6 +110,8 @@
     pub unfollowed_us: u64,
     /// Of what the routers know: age in microseconds, and how often it was seen. Since the mark, as all below.
     pub ages: Vec<(u64, u64)>,
+    /// Of these, those of the routers on each side of a cut.
+    pub ages_by_side: [Vec<(u64, u64)>; 2],
     /// Bytes in and out, the most of a router in a quarter of a second.
     pub peak_quarter: u64,
     /// Each quarter of a second: when it ended, and the bytes in and out of all routers.
--- a/crates/rig/src/scale/play.rs
+++ b/crates/rig/src/scale/play.rs
@@ -23,6 +23,7 @@
 use crate::listing::{self, Listing};
 use crate::process::{Kept, Process};
 use crate::record::{Axis, Line, Mode, Sizes};
+use crate::scale::border::Border;
 use crate::scale::clients::Clients;
 use crate::scale::counters::{Rates, Sums, merged, rates};
 use crate::scale::faults::Fault;
@@ -57,6 +58,8 @@
 const LAG_MS: u64 = 20;
 /// The age of what is known is looked at for so many databases a router.
 const SAMPLED: usize = 8;
+/// A fault changes no more primaries.
+const MOST_OF_A_FAULT: usize = 2;
 /// A router's sessions use one in so many databases.
 const USES_ONE_IN: usize = 24;
 /// How long the real routers are counted that know nothing of each other.
@@ -155,6 +158,8 @@
     alone: usize,
     real: Vec<Member>,
     control: Vec<Member>,
+    /// Where real processes can be cut from each other.
+    border: Option<Border>,
     listing: Listing,
     /// What is still to rise and fall, last first.
     promotions: Vec<(usize, usize)>,
@@ -202,7 +207,8 @@
 }
 
 impl World {
-    fn start(sizes: &Sizes, programs: &Programs) -> Result<Self, Failed> {
+    /// `divided` is a fleet whose real processes can be cut from each other.
+    fn start(sizes: &Sizes, programs: &Programs, divided: bool) -> Result<Self, Failed> {
         let run = NEXT.fetch_add(1, Ordering::SeqCst);
         let slot = (std::process::id() as u16).wrapping_mul(13).wrapping_add(run) & 0xfff;
         let folder = programs.folder.join(format!("{}-{run}", std::process::id()));
@@ -239,12 +245,16 @@
             })
         };
         let listing = Listing::start(databases.iter().enumerate().map(entry).collect())?;
+        let [chosen, alone, shared] = roles(sizes, &databases);
+        let real = chosen.iter().map(|place| datagrams[*place]);
+        let border = divided.then(|| Border::new(&control, real)).transpose()?;
         let files = Files {
             folder: &folder,
             sizes,
             discovery: listing.address,
             routers: &datagrams,
             control: &control,
+            border: border.as_ref(),
         };
         files.write_keys()?;
         let member = |kind, place, address| Member::new((kind, place), address, &files, &programs.router);
@@ -253,7 +263,6 @@
             .enumerate()
             .map(|(place, address)| member(Kind::Control, place, *address))
             .collect::<Result<_, _>>()?;
-        let [chosen, alone, shared] = roles(sizes, &databases);
         let real: Vec<Member> = chosen
             .iter()
             .map(|place| member(Kind::Router, *place, routers[*place]))
@@ -267,6 +276,7 @@
             alone: alone.len(),
             real,
             control,
+            border: None,
             listing,
             promoted: 0,
         };
@@ -306,6 +316,7 @@
                 crowd.await_up::<CrowdReport>()?;
             }
         }
+        world.border = border;
         Ok(world)
     }
 
@@ -569,7 +580,7 @@
 
 /// Which databases rise and fall in a run, last first: groups in an order by chance, each database once at the most.
 fn promotions(sizes: &Sizes) -> Vec<(usize, usize)> {
-    let wanted = (sizes.changes * (sizes.seconds + 10.0)).ceil() as usize + 1;
+    let wanted = (sizes.changes * (sizes.seconds + 10.0)).ceil() as usize + MOST_OF_A_FAULT;
     let mut groups: Vec<usize> = (0..sizes.databases / GROUP).collect();
     groups.shuffle(&mut ChaCha8Rng::seed_from_u64(sizes.seed));
     if groups.is_empty() {
@@ -600,7 +611,7 @@
             changes: 0.0,
             ..sizes.clone()
         };
-        let mut world = World::start(&off, programs)?;
+        let mut world = World::start(&off, programs, false)?;
         // The list of databases is read first, and is no part of the load.
         sleep(SETTLED + LISTED * sizes.databases as u32);
         let clients = world.clients()?;
@@ -611,7 +622,7 @@
         let window = world.window(&before, &after);
         figures.insert("real_off_cpu_part".to_string(), window.figures["real_on_cpu_part"]);
     }
-    let mut world = World::start(sizes, programs)?;
+    let mut world = World::start(sizes, programs, play.fault == Some(Fault::Cut))?;
     world.settle()?;
     let lean = world.real_memory();
     let clients = world.clients()?;
--- a/crates/rig/src/scale/play/strike.rs
+++ b/crates/rig/src/scale/play/strike.rs
@@ -8,8 +8,12 @@
 use super::{CALM, CALM_TIMES, CALMS, Failed, LOOKS, Window, World};
 use crate::now;
 use crate::record::{Bound, Mode};
+use crate::scale::border::Border;
 use crate::scale::counters::{Sums, merged};
-use crate::scale::faults::{DOWN, Fault, ONE_IN, STOPPED, calm_after, follows, is_struck};
+use crate::scale::faults::{
+    CUT, DOWN, Fault, ONE_IN, STOPPED, calm_after, follows, is_struck, shares_with_all_after, was_cut,
+};
+use crate::scale::hollow::{REGIONS, side};
 use crate::scale::member::Member;
 use crate::scale::orders::{CrowdReport, Order};
 
@@ -32,21 +36,30 @@
     world.begin(fault, &mut real)?;
     let began = now();
     let ended = began + fault.lasts();
-    // While the routers start.
-    let mut promotes = (fault == Fault::Primary).then_some(began + DOWN / 2);
+    // Last first: while the routers start; in the middle of a cut, and when it has just healed.
+    let mut promotes = match fault {
+        Fault::Primary => vec![began + DOWN / 2],
+        Fault::Cut => vec![ended, began + CUT / 2],
+        Fault::Restart | Fault::Stop | Fault::Control => Vec::new(),
+    };
+    let mut while_cut = None;
     let mut ends = Some(ended);
     let hollow = world.sizes.routers - world.sizes.real;
     let calm_bytes = (calm.hollow.bytes_in + calm.hollow.bytes_out) * hollow as f64;
     let (ended_us, mut looked_at) = (ended.as_micros() as u64, now());
     let (reports, calm_after) = loop {
-        let next = [promotes, ends].into_iter().flatten().fold(now() + ASKED_EVERY, Duration::min);
+        let next =
+            [promotes.last().copied(), ends].into_iter().flatten().fold(now() + ASKED_EVERY, Duration::min);
         sleep(next.saturating_sub(now()));
-        if promotes.take_if(|at| *at <= now()).is_some() {
-            world.promote()?;
-        }
         if ends.take_if(|at| *at <= now()).is_some() {
+            if fault == Fault::Cut {
+                while_cut = Some(world.order_crowds(&Order::Count)?);
+            }
             world.end(fault, &mut real)?;
         }
+        if promotes.pop_if(|at| *at <= now()).is_some() {
+            world.promote()?;
+        }
         control.look(&world.control, world.sizes.mode)?;
         real.look(&world.real, world.sizes.mode)?;
         if now() < looked_at + LOOKS && now() < ended + CALMS {
@@ -92,8 +105,15 @@
     put("fault_discovery_bytes_in", discovery.bytes_in as f64);
     put("fault_discovery_bytes_out", discovery.bytes_out as f64);
     world.known(&reports, figures);
+    if let Some(reports) = while_cut {
+        world.of_cut(&reports, (began.as_micros() as u64, ended_us), figures);
+    }
     let held = |figure: &str, is: f64| Bound { figure: figure.to_string(), is, most: 0.0, held: is <= 0.0 };
-    Ok(vec![held("follow_missing", missing), held("calm_missing", f64::from(u8::from(calm_after.is_none())))])
+    let calm_missing = f64::from(u8::from(calm_after.is_none()));
+    let mut bounds = vec![held("follow_missing", missing), held("calm_missing", calm_missing)];
+    let of_cut = ["cut_missing", "agree_missing"];
+    bounds.extend(of_cut.iter().filter_map(|name| Some(held(name, *figures.get(*name)?))));
+    Ok(bounds)
 }
 
 impl World {
@@ -123,7 +143,10 @@
                 struck.into_iter().for_each(|place| self.real[place].stand_still(true));
                 self.order_crowds(&Order::Stop { one_in: ONE_IN, ms: ms(STOPPED) })?;
             }
-            Fault::Cut => _ = self.order_crowds(&Order::Cut { ms: ms(fault.lasts()) })?,
+            Fault::Cut => {
+                _ = self.order_crowds(&Order::Cut { ms: ms(CUT) })?;
+                self.border.iter().for_each(Border::close);
+            }
             Fault::Control => {
                 if let Some(instance) = self.control.first_mut() {
                     instance.kill();
@@ -133,8 +156,11 @@
         Ok(())
     }
 
-    /// Hollow routers return by themselves.
+    /// Hollow routers return, or reach the others again, by themselves.
     fn end(&mut self, fault: Fault, watch: &mut Watch) -> std::io::Result<()> {
+        if fault == Fault::Cut {
+            self.border.iter().for_each(Border::open);
+        }
         for place in self.struck(fault) {
             match fault {
                 Fault::Stop => self.real[place].stand_still(false),
@@ -146,6 +172,49 @@
     }
 }
 
+impl World {
+    /// What each side knew while it was cut off, by these reports of its end, and when all agreed again: routers by what
+    /// they know, control instances by whom they share duties with.
+    fn of_cut(
+        &self,
+        reports: &[CrowdReport],
+        (began_us, ended_us): (u64, u64),
+        figures: &mut BTreeMap<String, f64>,
+    ) {
+        let mut put = |name: &str, value: f64| _ = figures.insert(name.to_string(), value);
+        let mut oldest: f64 = 0.0;
+        for (side, name) in REGIONS.iter().enumerate() {
+            let ages = merged(reports.iter().map(|report| &report.ages_by_side[side]));
+            put(&format!("cut_age_{name}_p99_s"), ages.value_at_quantile(0.99) as f64 / 1e6);
+            put(&format!("cut_age_{name}_max_s"), ages.max() as f64 / 1e6);
+            oldest = oldest.max(ages.max() as f64 / 1e6);
+        }
+        put("cut_age_max_s", oldest);
+        let all = self.control.len() as u64;
+        let half = |member: &Member| {
+            let near = |other: &&Member| side(other.address.feed) == side(member.address.feed);
+            self.control.iter().filter(near).count() as u64
+        };
+        let (mut uncut, mut apart, mut last) = (0.0, 0.0, 0.0_f64);
+        for member in &self.control {
+            let duties = member.duties();
+            let was_cut = half(member) == all || was_cut(&duties, (began_us, ended_us), half(member));
+            uncut += f64::from(u8::from(!was_cut));
+            match shares_with_all_after(&duties, ended_us, all) {
+                Some(after) => last = last.max(after),
+                None => apart += 1.0,
+            }
+        }
+        put("cut_missing", uncut);
+        put("agree_missing", apart);
+        put("control_agree_s", last);
+        let parts = ["follow_max_s", "real_follow_max_s", "control_agree_s", "change_known_max_s"];
+        let agree =
+            parts.iter().filter_map(|name| figures.get(*name)).fold(0.0, |most: f64, part| most.max(*part));
+        figures.insert("agree_max_s".to_string(), agree);
+    }
+}
+
 /// Bytes in and out of all hollow routers by quarters of a second, but for the last, which may not have come from all.
 fn by_quarter(reports: &[CrowdReport]) -> Vec<(u64, u64)> {
     let mut all: BTreeMap<u64, u64> = BTreeMap::new();
