--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -50,20 +50,11 @@
     record: Option<&Path>,
     quiet: bool,
 ) -> Result<bool, Failed> {
-    let mut lines = Vec::new();
+    let mut played = Played { lines: Vec::new(), tighter, record, quiet };
     for wanted in plays {
-        let mut line = play(wanted, programs)?;
-        hold(&mut line, tighter);
-        if !quiet {
-            tell(&line);
-        }
-        if let Some(path) = record {
-            let mut file = OpenOptions::new().create(true).append(true).open(path)?;
-            writeln!(file, "{}", serde_json::to_string(&line).map_err(std::io::Error::from)?)?;
-        }
-        lines.push(line);
+        played.enter(play(wanted, programs)?)?;
     }
-    compare(&mut lines, tighter);
+    let lines = played.lines;
     let mut runs = Vec::new();
     for line in &lines {
         if let Line::Run { sizes, fault, figures, bounds, .. } = line {
@@ -81,22 +72,47 @@
     Ok(held)
 }
 
-/// What holds between two runs is entered with the later one.
-fn compare(lines: &mut [Line], tighter: &[(String, f64)]) {
-    for later in 1..lines.len() {
-        let (before, after) = lines.split_at_mut(later);
-        let Line::Run { sizes, figures, bounds: held, fault: None, .. } = &mut after[0] else { continue };
-        let found = before.iter().find_map(|line| match line {
-            Line::Run { sizes: once, figures: of_once, fault: None, .. } => {
-                bounds::twice((once, of_once), (sizes, figures))
-            }
-            _ => None,
-        });
-        held.extend(found);
-        hold(&mut after[0], tighter);
+/// What was played so far, and where it is told of.
+pub struct Played<'a> {
+    pub lines: Vec<Line>,
+    pub tighter: &'a [(String, f64)],
+    pub record: Option<&'a Path>,
+    pub quiet: bool,
+}
+
+impl Played<'_> {
+    /// Holds a run against its bounds and against the earlier ones before it is told and written, so that a record has
+    /// all bounds that were held.
+    ///
+    /// # Errors
+    /// The record cannot be written.
+    pub fn enter(&mut self, mut line: Line) -> std::io::Result<()> {
+        compare(&self.lines, &mut line);
+        hold(&mut line, self.tighter);
+        if !self.quiet {
+            tell(&line);
+        }
+        if let Some(path) = self.record {
+            let mut file = OpenOptions::new().create(true).append(true).open(path)?;
+            writeln!(file, "{}", serde_json::to_string(&line)?)?;
+        }
+        self.lines.push(line);
+        Ok(())
     }
 }
 
+/// What holds between two runs is entered with the later one.
+fn compare(before: &[Line], line: &mut Line) {
+    let Line::Run { sizes, figures, bounds: held, fault: None, .. } = line else { return };
+    let found = before.iter().find_map(|line| match line {
+        Line::Run { sizes: once, figures: of_once, fault: None, .. } => {
+            bounds::twice((once, of_once), (sizes, figures))
+        }
+        _ => None,
+    });
+    held.extend(found);
+}
+
 /// Bounds of the command line replace those of the same name, or come on top of them.
 fn hold(line: &mut Line, tighter: &[(String, f64)]) {
     let Line::Run { figures, bounds, .. } = line else { return };
--- /dev/null
+++ b/crates/rig/tests/report.rs
@@ -0,0 +1,59 @@
+//! A run is held against its bounds and those before it, and its record says so.
+
+use std::collections::BTreeMap;
+
+use quillpoint_rig::record::{Bound, Line, Mode, Sizes, read};
+use quillpoint_rig::scale::report::Played;
+
+fn run(databases: usize, bytes: f64) -> Line {
+    let figures = [("router_bytes_in_s", bytes), ("router_bytes_out_s", 100.0)];
+    Line::Run {
+        axis: None,
+        fault: None,
+        program: None,
+        sizes: Sizes {
+            mode: Mode::Feed,
+            routers: 200,
+            real: 16,
+            hollow_processes: 9,
+            control: 4,
+            databases,
+            connections: 0,
+            statements: 0.0,
+            changes: 1.0,
+            period_s: 0.15,
+            seed: 1,
+            seconds: 8.0,
+        },
+        figures: figures.map(|(name, is)| (name.to_string(), is)).into(),
+        bounds: Vec::new(),
+    }
+}
+
+fn bounds(line: &Line) -> BTreeMap<&str, &Bound> {
+    match line {
+        Line::Run { bounds, .. } => bounds.iter().map(|bound| (bound.figure.as_str(), bound)).collect(),
+        Line::Fit(_) => BTreeMap::new(),
+    }
+}
+
+#[test]
+fn what_holds_between_two_runs_stands_in_the_record_of_the_later() {
+    let path = std::env::temp_dir().join(format!("quillpoint-report-{}.jsonl", std::process::id()));
+    _ = std::fs::remove_file(&path);
+    let tighter = [("router_bytes_in_s".to_string(), 3500.0)];
+    let mut played = Played { lines: Vec::new(), tighter: &tighter, record: Some(&path), quiet: true };
+    for line in [run(250, 3400.0), run(500, 4800.0), run(2000, 9000.0)] {
+        played.enter(line).expect("written");
+    }
+    let written = read(&path).expect("a record");
+    _ = std::fs::remove_file(&path);
+    assert_eq!(written, played.lines);
+    let name = "bytes_at_twice_the_databases";
+    let told: Vec<Option<(f64, bool)>> =
+        written.iter().map(|line| Some((bounds(line).get(name)?.is, bounds(line)[name].held))).collect();
+    // 4,900 beside 3,500 bytes; nothing was played at half of 2,000.
+    assert_eq!(told, [None, Some((1.4, false)), None]);
+    assert!(written.iter().all(|line| bounds(line).contains_key("router_bytes_in_s")));
+    assert!(bounds(&written[0])["router_bytes_in_s"].held && !bounds(&written[1])["router_bytes_in_s"].held);
+}
