--- a/crates/router/src/line.rs
+++ b/crates/router/src/line.rs
@@ -13,7 +13,7 @@
 
 /// So many statements of a connection are under way, or wait to be, or wait to be written, at the most.
 pub const SIDE_BY_SIDE: usize = 16;
-/// With so many bytes of answers that wait to be written nothing more is begun.
+/// With so many bytes of answers that wait to be written nothing more is begun, but for what these wait for.
 const ANSWERS_WAIT: usize = 64 * 1024;
 
 /// What a statement reaches, as far as its order among others goes.
@@ -65,11 +65,16 @@
 
     /// Whether one more may join; `alone` where memory is short: then one at a time.
     pub fn has_room(&self, alone: bool) -> bool {
+        self.0.is_empty() || (!alone && self.0.len() < SIDE_BY_SIDE && self.answers() < ANSWERS_WAIT)
+    }
+
+    /// Bytes of answers that wait to be written.
+    fn answers(&self) -> usize {
         let answers = self.0.iter().map(|place| match place {
             Place::Answered(answered) => answered.out.len(),
             Place::Asked { .. } => 0,
         });
-        self.0.is_empty() || (!alone && self.0.len() < SIDE_BY_SIDE && answers.sum::<usize>() < ANSWERS_WAIT)
+        answers.sum()
     }
 
     /// Joins the line. Its life begins when none that it waits for is ahead of it.
@@ -108,12 +113,17 @@
 
     /// Goes on with all that may. Whether one has been answered.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
-        let (mut ahead, mut any) = (Vec::new(), false);
+        let (mut ahead, mut any, mut answers) = (Vec::new(), false, self.answers());
         for place in &mut self.0 {
             let Place::Asked { reach, life, begun } = place else { continue };
-            *begun |= !ahead.iter().any(|earlier| reach.waits_for(earlier));
+            // The first one is what the others' answers wait for.
+            let may_begin = ahead.is_empty() || answers < ANSWERS_WAIT;
+            *begun |= may_begin && !ahead.iter().any(|earlier| reach.waits_for(earlier));
             match begun.then(|| life.as_mut().poll(cx)) {
-                Some(std::task::Poll::Ready(answered)) => (*place, any) = (Place::Answered(answered), true),
+                Some(std::task::Poll::Ready(answered)) => {
+                    answers += answered.out.len();
+                    (*place, any) = (Place::Answered(answered), true);
+                }
                 _ => ahead.push(*reach),
             }
         }
@@ -121,26 +131,40 @@
     }
 }
 
-/// The last commits of the sessions that wrote on a connection: a client that asks ahead of its answers cannot
-/// tell of them yet.
+/// The last commits of what wrote on a connection: a client that asks ahead of its answers cannot tell of them yet.
 #[derive(Default)]
-pub struct Written(BTreeMap<(GroupId, SessionKey), Duration>);
+pub struct Written {
+    sessions: BTreeMap<(GroupId, SessionKey), Duration>,
+    /// By group: the last commit of those that are kept no more, or had no key and may be any session's. It holds for
+    /// all sessions, as one whose own is not kept may have asked long before its turn.
+    others: BTreeMap<GroupId, Duration>,
+}
 
-/// So many sessions are kept. Writes of a group come one after the other, so that the client has long been told of
-/// the oldest.
+/// So many sessions are kept.
 const MOST_WRITTEN: usize = 4 * SIDE_BY_SIDE;
 
 impl Written {
-    pub fn last(&self, session: (GroupId, SessionKey)) -> Option<Duration> {
-        self.0.get(&session).copied()
+    /// The last commit that this session's read must see, as far as it was written here.
+    pub fn last(&self, group: GroupId, key: SessionKey) -> Option<Duration> {
+        self.sessions.get(&(group, key)).max(self.others.get(&group)).copied()
     }
 
-    pub fn note(&mut self, session: (GroupId, SessionKey), commit: Duration) {
-        let known = self.0.entry(session).or_default();
+    /// A write has been committed.
+    pub fn note(&mut self, group: GroupId, key: Option<SessionKey>, commit: Duration) {
+        let Some(key) = key else { return self.note_other(group, commit) };
+        let known = self.sessions.entry((group, key)).or_default();
         *known = commit.max(*known);
-        let oldest = self.0.iter().min_by_key(|(_, commit)| **commit).map(|(session, _)| *session);
-        if let Some(oldest) = oldest.filter(|_| self.0.len() > MOST_WRITTEN) {
-            self.0.remove(&oldest);
+        let oldest = self.sessions.iter().min_by_key(|(_, commit)| **commit);
+        let oldest = oldest.map(|(session, commit)| (*session, *commit));
+        if let Some((session, commit)) = oldest.filter(|_| self.sessions.len() > MOST_WRITTEN) {
+            self.sessions.remove(&session);
+            self.note_other(session.0, commit);
         }
     }
+
+    /// Only groups that have a primary commit, so that there are no more of these than groups.
+    fn note_other(&mut self, group: GroupId, commit: Duration) {
+        let known = self.others.entry(group).or_default();
+        *known = commit.max(*known);
+    }
 }
