--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillpoint_feed::share::{CROWD, TIMES};
+use quillpoint_feed::share::{LOOKS, TIMES};
 use quillpoint_fleet::letter::CARDS_WHOLE;
 use quillpoint_fleet::membership::MOST_PEERS;
 
@@ -579,7 +579,7 @@
                 "probes a second, no control instance left, the most of one",
                 feed,
                 Budget::None,
-                computed(&[CROWD, PROBES_S], 1.0, "crates/feed/src/share.rs"),
+                computed(&[LOOKS], 1.0, "crates/feed/src/share.rs"),
                 "feed: paced share",
             ),
         ],
