Feed: a part that was asked for in vain is asked for again within 1.6 s

Cause: the wait doubled four times and was then drawn between once and one and a half times (subscriber.rs pull): 6.4 to 9.6 s at the fifth try. A part whose copy is lost several times over, as in a rush, aged meanwhile.

Change: 400 to 600 ms, 0.8 to 1.2 s, and from then on 1.07 to 1.6 s, drawn anew each time. No more than sixteen parts are out there as before; a publisher notes a part once, however often it is asked for, and paces what it sends.

--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -43,10 +43,14 @@
 /// of use for a while: where nothing has changed, none need be fetched anew.
 const REMEMBERED: Duration = Duration::from_secs(10);
 const KEPT: Duration = Duration::from_secs(60);
-/// So many parts are asked for at a time, again after this, and twice as long after each further try.
+/// So many parts are asked for at a time, again after this, and twice as long after each further try, up to a bound that
+/// no chance goes beyond: a part whose copy has been lost several times over ages meanwhile. A publisher notes a part once
+/// however often it is asked for, and paces what it sends.
 const IN_FLIGHT: usize = 16;
-const PULL_AGAIN: Duration = Duration::from_millis(400);
-const PULL_TRIES: u32 = 4;
+const PULL_AGAIN: Duration = Duration::from_millis(600);
+const PULL_MOST: Duration = Duration::from_millis(1600);
+/// What chance leaves of it: the first answer has 400 ms.
+const PULL_LEAST: f64 = 2.0 / 3.0;
 /// A second copy of what one has told is asked for after once to twice this, when the rush is over.
 const SECOND_COPY: Duration = Duration::from_secs(3);
 /// Periods beyond these are nobody's.
@@ -478,8 +482,8 @@
             }
             for part in &parts {
                 let Some(pull) = followed.pulls.get_mut(part) else { continue };
-                let again = PULL_AGAIN * (1 << pull.tries.min(PULL_TRIES));
-                pull.due = now + again.mul_f64(self.chance.random_range(1.0..1.5));
+                let again = PULL_AGAIN.saturating_mul(1 << pull.tries.min(16)).min(PULL_MOST);
+                pull.due = now + again.mul_f64(self.chance.random_range(PULL_LEAST..1.0));
                 pull.tries = pull.tries.saturating_add(1);
             }
             if !parts.is_empty() {
