Feed: a recorded wish to subscribe moves no router that has answered a digest

Cause: Subscribe names no start, as the router cannot know it yet. One that was recorded passes a control instance that has started again: its windows are new. It then moved the router's digests to wherever it came from, for up to the router's own next one, and had them sent there for four seconds where the router was not told any more.

Change: as in RFC 9000, section 8. Subscribe serves for 1.2 s and validates no address. The first digest is the challenge: it names the router's start and tells the control instance's; the router answers at once with Renew, which names that start, and says Renew about once a second in place of Subscribe. Renew and Pull validate an address, for the four seconds as before; from then on no Subscribe moves it. As many datagrams as before, but one more at the start. Left: until it has answered, and of a router that is not there, some twelve digests can go elsewhere for each recording. Without any digest before an answer a test of the router's (its own follower says Subscribe alone) and the random world would have to change; that is the stricter way, if it is wanted.

--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -113,8 +113,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// From a router: send me digests from now on, for a while. Said again and again; it does no more than ask, and is
-    /// all that may be said before the other's start is known.
+    /// From a router: send me digests from now on, for a short while. Said until the first has come; it does no more than
+    /// ask, and is all that may be said before the other's start is known.
     Subscribe,
     /// From a router: I need no more digests.
     Unsubscribe,
@@ -126,6 +126,9 @@
     Full,
     /// From a control instance: it ends.
     Leaving,
+    /// From a router that has been told: go on. It names the other's start, which only who takes its digests knows, so
+    /// that it shows where the router is, as no recorded `Subscribe` does.
+    Renew,
 }
 
 /// A message with whom it is from.
--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -20,6 +20,9 @@
 const HASTE: u32 = 5;
 /// Who has not subscribed again for so long is forgotten: a few misses of one a second.
 pub const LEASE: Duration = Duration::from_secs(4);
+/// The same as long as its address is not validated (as in RFC 9000, section 8): a wish to subscribe may have been
+/// recorded before this start, and be sent again from elsewhere. A router answers the first digest.
+pub const TRIAL: Duration = Duration::from_millis(1200);
 /// Nothing is told before databases have been listed for so many periods: what one that has just started has not seen
 /// yet would be told as unseen, and then as seen, of each.
 const SETTLE_PERIODS: u32 = 4;
@@ -44,6 +47,8 @@
 
 struct Subscriber {
     address: SocketAddr,
+    /// It has named this control instance's start from there, so that nothing recorded turns its digests elsewhere.
+    validated: bool,
     start: Incarnation,
     until: Duration,
     /// Decides in which lot of a round it is served.
@@ -134,12 +139,14 @@
             return;
         }
         match message {
-            Message::Subscribe => self.subscribe(now, from, who, start),
+            Message::Subscribe => self.subscribe(now, from, who, start, false),
+            Message::Renew => self.subscribe(now, from, who, start, true),
             Message::Unsubscribe => _ = self.subscribers.remove(who),
             Message::Pull(parts) => {
                 let Some(known) = self.subscribers.get_mut(who).filter(|known| known.start == start) else {
                     return;
                 };
+                (known.address, known.validated, known.until) = (from, true, now + LEASE);
                 let waits = known.wants != 0;
                 parts.iter().filter(|part| usize::from(part.0) < PARTS).for_each(|part| {
                     known.wants |= 1 << part.0;
@@ -153,15 +160,30 @@
         }
     }
 
-    fn subscribe(&mut self, now: Duration, from: SocketAddr, who: &PeerName, start: Incarnation) {
-        let until = now + LEASE;
+    /// `validates`: it names this start, and so comes from where the router is.
+    fn subscribe(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        who: &PeerName,
+        start: Incarnation,
+        validates: bool,
+    ) {
+        let until = now + if validates { LEASE } else { TRIAL };
         if let Some(known) = self.subscribers.get_mut(who) {
             if known.start != start {
                 // It has started anew, and asks for what it needs.
-                known.wants = 0;
+                (known.wants, known.validated) = (0, false);
                 self.queue.retain(|waiting| waiting != who);
+            } else if known.validated && !validates {
+                // From elsewhere it is a recording; from there it is a router that has missed digests.
+                if known.address == from {
+                    known.until = known.until.max(until);
+                }
+                return;
             }
             (known.address, known.start, known.until) = (from, start, until);
+            known.validated |= validates;
             return;
         }
         if self.subscribers.len() >= self.plan.most_subscribers {
@@ -172,7 +194,8 @@
             return self.host.send(from, Some(start), Message::Full);
         }
         let lot = self.chance.next_u32();
-        self.subscribers.insert(who.clone(), Subscriber { address: from, start, until, lot, wants: 0 });
+        let subscriber = Subscriber { address: from, validated: validates, start, until, lot, wants: 0 };
+        self.subscribers.insert(who.clone(), subscriber);
     }
 
     pub fn timer_fired(&mut self, now: Duration) {
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -210,7 +210,10 @@
         match followed.told.came(start) {
             Start::Earlier => return,
             Start::Same => {}
-            Start::Later => followed.start_anew(),
+            Start::Later => {
+                followed.start_anew();
+                followed.ask = now;
+            }
         }
         match message {
             Message::Digest(digest) => self.digest(now, place, digest),
@@ -218,7 +221,7 @@
             Message::Full => self.give_up(now, from, FULL),
             Message::Leaving => self.give_up(now, from, LEFT_ALONE * 4),
             // What a router says is no matter of another's.
-            Message::Subscribe | Message::Unsubscribe | Message::Pull(_) => {}
+            Message::Subscribe | Message::Renew | Message::Unsubscribe | Message::Pull(_) => {}
         }
     }
 
@@ -238,8 +241,11 @@
         followed.digests = followed.digests.saturating_add(1);
         followed.spoke = now;
         if followed.heard.replace(now).is_none() {
+            // Answered at once: until then it is told on trial.
+            followed.ask = now;
             self.gone.remove(&name);
             self.host.tell(Event::Following(name));
+            self.ask(now);
         }
         self.spoken = now;
         self.share.basis_changed(now, Basis { period: period.clamp(LEAST_PERIOD, MOST_PERIOD), routers });
@@ -437,15 +443,17 @@
         }
     }
 
-    /// Subscriptions are said again and again.
+    /// Subscriptions are said again and again, by the other's start as soon as it has spoken.
     fn ask(&mut self, now: Duration) {
         for followed in &mut self.followed {
             if followed.ask > now {
                 continue;
             }
-            let again = if followed.heard.is_some() { ASK_EVERY } else { ASK_FIRST };
+            let start = followed.start().filter(|_| followed.heard.is_some());
+            let again = if start.is_some() { ASK_EVERY } else { ASK_FIRST };
             followed.ask = now + again.mul_f64(self.chance.random_range(0.8..1.2));
-            self.host.send(followed.control.address, None, Message::Subscribe);
+            let message = if start.is_some() { Message::Renew } else { Message::Subscribe };
+            self.host.send(followed.control.address, start, message);
         }
     }
 
