--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -5,13 +5,13 @@
 //! look for oneself, and counts only once several routers have failed by themselves. A peer whose word a node's
 //! own answer contradicts is not believed for a while.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::host::Evidence;
 use crate::ids::PeerName;
-use crate::letter::{NEWS_ALONG, News};
+use crate::letter::{NEWS_ALONG, NEWS_ROOM, News};
 
 /// Older news than this is of no use to anybody.
 pub const OLDEST: Duration = Duration::from_secs(10);
@@ -61,7 +61,8 @@
 
 pub struct Book {
     me: PeerName,
-    nodes: BTreeMap<SocketAddr, Known>,
+    /// By hash, as each piece of news looks one up; the record goes by address.
+    nodes: HashMap<SocketAddr, Known>,
     /// Own findings that have not been sent.
     fresh: BTreeSet<SocketAddr>,
     distrusted: BTreeMap<PeerName, Duration>,
@@ -76,7 +77,7 @@
     pub fn new(me: PeerName, rate: f64, now: Duration) -> Self {
         Self {
             me,
-            nodes: BTreeMap::new(),
+            nodes: HashMap::new(),
             fresh: BTreeSet::new(),
             distrusted: BTreeMap::new(),
             rate,
@@ -144,10 +145,13 @@
             evidence.failed = known.failures.len() >= VOICES;
             return if evidence.failed { Verdict::Believed(evidence) } else { Verdict::Doubt };
         }
-        if let Some(position) = evidence.position
-            && known.highest.as_ref().is_none_or(|(_, highest, _)| *highest < position)
-        {
-            known.highest = Some((by.clone(), position, at));
+        if let Some(position) = evidence.position {
+            match &mut known.highest {
+                Some((_, highest, _)) if *highest >= position => {}
+                // Mostly it is the one who told the one before: no other name is made for each piece of news.
+                Some((teller, highest, since)) if teller == by => (*highest, *since) = (position, at),
+                highest => *highest = Some((by.clone(), position, at)),
+            }
         }
         known.failures.retain(|_, failed| *failed > at);
         if known.told.as_ref().is_none_or(|told| told.at <= at) {
@@ -172,7 +176,7 @@
             due.extend(self.nodes[node].own.as_ref().map(|found| (found.at, *node)));
         }
         due.sort_by(|one, other| other.cmp(one));
-        let mut letters = Vec::new();
+        let (mut letters, mut room): (Vec<Vec<News>>, usize) = (Vec::new(), 0);
         for part in due.chunks(NEWS_ALONG) {
             let bytes = (LETTER_BYTES + NEWS_BYTES * part.len() as f64) * peers as f64;
             // A budget too small for one letter would send none ever.
@@ -181,7 +185,18 @@
             }
             self.saved -= bytes;
             part.iter().for_each(|(_, node)| _ = self.fresh.remove(node));
-            letters.push(self.letter(now, part.iter().map(|(_, node)| *node), false));
+            for news in self.letter(now, part.iter().map(|(_, node)| *node), false) {
+                // Each letter costs its sender a call of the system for each peer, and each receiver another.
+                let bytes = news.bytes();
+                match letters.last_mut() {
+                    Some(last) if bytes <= room => last.push(news),
+                    _ => {
+                        letters.push(vec![news]);
+                        room = NEWS_ROOM;
+                    }
+                }
+                room = room.saturating_sub(bytes);
+            }
         }
         letters
     }
@@ -189,7 +204,8 @@
     /// All that is known and not too old, for one who starts or comes back, in letters. Failures are not told:
     /// only who has failed itself may say so.
     pub fn record(&self, now: Duration) -> Vec<Vec<News>> {
-        let nodes: Vec<SocketAddr> = self.nodes.keys().copied().collect();
+        let mut nodes: Vec<SocketAddr> = self.nodes.keys().copied().collect();
+        nodes.sort_unstable();
         let letters = nodes.chunks(NEWS_ALONG).map(|part| self.letter(now, part.iter().copied(), true));
         letters.filter(|letter| !letter.is_empty()).collect()
     }
