Scale runs: peaks of real processes are of spans of 0.15 s at the least

Cause: a router that goes on after a stop is looked at a few milliseconds later; what it found at its socket was divided by 0.1 s.

Change: what passes in a shorter time counts with the next look, a fifth of a second later. Control instances are looked at by the same code; their spans were longer already.

--- a/crates/rig/src/scale/play/strike.rs
+++ b/crates/rig/src/scale/play/strike.rs
@@ -19,6 +19,9 @@
 
 /// How often real processes are asked for their counts.
 const ASKED_EVERY: Duration = Duration::from_millis(200);
+/// What passes in a shorter time, as right after a return, is a part of what is counted by the next look: divided by so
+/// little time it would be no rate.
+const SHORTEST_S: f64 = 0.15;
 
 /// Plays the fault, and looks at the fleet until it is calm again.
 pub(super) fn strike(
@@ -257,21 +260,24 @@
                 continue;
             };
             let sums = member.told(place, mode)?;
+            let follows = follows(mode, &sums, &seen.before);
+            if follows && !seen.follows {
+                seen.followed_us = sums.at_us;
+            }
+            seen.follows = follows;
             let cpu = member.usage().map_or(Duration::ZERO, |(_, time)| time);
             let at = Instant::now();
             if let Some((before, cpu_before, at_before)) = seen.last {
                 let seconds = sums.at_us.saturating_sub(before.at_us) as f64 / 1e6;
+                if seconds < SHORTEST_S {
+                    continue;
+                }
                 let bytes = (sums.sent_bytes + sums.read_bytes) - (before.sent_bytes + before.read_bytes);
-                self.peak_bytes = self.peak_bytes.max(bytes as f64 / seconds.max(0.1));
+                self.peak_bytes = self.peak_bytes.max(bytes as f64 / seconds);
                 let spent = cpu.saturating_sub(cpu_before).as_secs_f64();
                 self.peak_cpu = self.peak_cpu.max(spent / (at - at_before).as_secs_f64());
             }
             seen.last = Some((sums, cpu, at));
-            let follows = follows(mode, &sums, &seen.before);
-            if follows && !seen.follows {
-                seen.followed_us = sums.at_us;
-            }
-            seen.follows = follows;
         }
         Ok(())
     }
