--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillpoint_feed::share::{CROWD, LOOKS, TIMES};
+use quillpoint_feed::share::{CROWD, TIMES};
 use quillpoint_fleet::letter::CARDS_WHOLE;
 use quillpoint_fleet::membership::MOST_PEERS;
 
@@ -644,12 +644,13 @@
                 computed(&[CROWD, PROBES_S], 1.0, "crates/feed/src/share.rs"),
                 "feed: paced share",
             ),
+            // Each probes it once before its floor has passed, and nothing but chance keeps them from the same second.
             ask(
                 database,
                 "probes in one second, no control instance left, the most that one that all use may get",
                 feed,
                 Budget::None,
-                computed(&[LOOKS], 1.0, "crates/feed/src/share.rs"),
+                computed(&[ROUTERS, 1.0], 1.0, "crates/feed/src/share.rs"),
                 "feed: paced share",
             ),
             ask(discovery, "calls a second, a region alone", any, Budget::None, Source::Nothing, "watch"),
