--- a/crates/feed/src/share.rs
+++ b/crates/feed/src/share.rs
@@ -14,9 +14,9 @@
 /// many databases with answers that are minutes old; a database that bears its clients bears a few probes more.
 pub const TIMES: f64 = 4.0;
 /// One database is probed by no more than so many routers in each period, whatever the number of routers.
-const CROWD: f64 = 100.0;
+pub const CROWD: f64 = 100.0;
 /// Routers that have reason to look at a database at the same moment do so at this rate, one after the other.
-pub const LOOKS: f64 = 4000.0;
+const LOOKS: f64 = 4000.0;
 /// The number of routers falls by no more than two thirds in about so long, in seconds, however often digests come.
 const FALLS_IN: f64 = 10.0;
 /// No more than this counts of the time since the last digest: while none spoke, nobody knew better.
--- a/crates/rig/src/scale/crowd.rs
+++ b/crates/rig/src/scale/crowd.rs
@@ -17,6 +17,7 @@
 
 use crate::now;
 use crate::process::resident;
+use crate::scale::faults::is_struck;
 use crate::scale::hollow::{Common, Hollow, Role};
 use crate::scale::orders::{CrowdPlan, CrowdReport, Known, Order};
 use crate::scale::prober::Prober;
@@ -39,10 +40,13 @@
 struct Crowd {
     common: Common,
     routers: Vec<Hollow>,
+    /// So many hollow routers are in the processes before this one.
+    before: usize,
     /// In no order: there are few kinds, and each is looked at once a quarter.
     later: Vec<(Instant, Later)>,
     base_bytes: u64,
-    ages: Histogram<u64>,
+    /// By the routers' sides of a cut.
+    ages: [Histogram<u64>; 2],
     traffic: Vec<u64>,
     peak_quarter: u64,
     quarters: Vec<(u64, u64)>,
@@ -130,9 +134,10 @@
             common,
             traffic: vec![0; routers.len()],
             routers,
+            before: plan.before,
             later: Vec::new(),
             base_bytes: resident(std::process::id()).unwrap_or(0),
-            ages: histogram(),
+            ages: [histogram(), histogram()],
             peak_quarter: 0,
             quarters: Vec::new(),
             unfollowed_us: 0,
@@ -144,23 +149,24 @@
 
     fn obey(&mut self, order: Order) {
         let after = |ms: u64| Instant::now() + Duration::from_millis(ms);
-        let chosen = |one_in: usize, all: usize| (0..all).step_by(one_in.max(1));
+        let (before, all) = (self.before, self.routers.len());
+        let chosen = |one_in: usize| (0..all).filter(move |place| is_struck(before + place, one_in));
         match order {
             Order::Mark => {
                 (self.peak_quarter, self.unfollowed_us) = (0, 0);
-                self.ages.reset();
+                self.ages.iter_mut().for_each(Histogram::reset);
                 self.quarters.clear();
                 self.promotions.clear();
             }
             Order::Promoted { node, at_us } => self.promotions.push((node, at_us)),
             Order::Restart { one_in, down_ms } => {
-                for place in chosen(one_in, self.routers.len()) {
+                for place in chosen(one_in) {
                     self.routers[place].kill();
                     self.later.push((after(down_ms), Later::Start(place)));
                 }
             }
             Order::Stop { one_in, ms } => {
-                for place in chosen(one_in, self.routers.len()) {
+                for place in chosen(one_in) {
                     self.routers[place].stand_still(true);
                     self.later.push((after(ms), Later::Continue(place)));
                 }
@@ -203,7 +209,8 @@
             let (ran, ages) = router.ages();
             following += usize::from(ages.iter().all(|age| age.is_some_and(|age| age <= self.follows)));
             // Of what it has never heard of it knows nothing for as long as it runs.
-            ages.into_iter().for_each(|age| note(&mut self.ages, age.unwrap_or(ran)));
+            let all = &mut self.ages[router.side()];
+            ages.into_iter().for_each(|age| note(all, age.unwrap_or(ran)));
         }
         let at = now().as_micros() as u64;
         self.quarters.push((at, all));
@@ -221,7 +228,8 @@
             resident_bytes: resident(std::process::id()).unwrap_or(0),
             following: self.following,
             unfollowed_us: self.unfollowed_us,
-            ages: pairs(&self.ages),
+            ages: self.ages.iter().flat_map(pairs).collect(),
+            ages_by_side: [pairs(&self.ages[0]), pairs(&self.ages[1])],
             peak_quarter: self.peak_quarter,
             quarters: self.quarters.clone(),
             ..CrowdReport::default()
--- a/crates/rig/src/scale/faults.rs
+++ b/crates/rig/src/scale/faults.rs
@@ -3,6 +3,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use crate::record::Mode;
+use crate::scale::counters::Sums;
+
 /// A sixth of the routers.
 pub const ONE_IN: usize = 6;
 /// How long routers are down that restart.
@@ -10,13 +13,19 @@
 pub const STOPPED: Duration = Duration::from_secs(3);
 pub const CUT: Duration = Duration::from_secs(30);
 
+/// A real router that follows as many control instances as before, and holds this part of what it held before, has its
+/// first copies: the second halves come seconds later, and are in no hurry.
+const FIRST_COPIES: f64 = 0.45;
+/// The same where all are members, which hold all at once.
+const ALL_HELD: f64 = 0.9;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// A sixth of the routers restarted at once.
     Restart,
     /// A sixth of the routers stopped for three seconds, and continued.
     Stop,
-    /// Two halves cut from each other for half a minute, and healed.
+    /// Two halves cut from each other for half a minute, and healed: routers and control instances, hollow and real.
     Cut,
     /// A control instance killed.
     Control,
@@ -26,6 +35,30 @@
 
 pub const ALL: [Fault; 5] = [Fault::Restart, Fault::Stop, Fault::Cut, Fault::Control, Fault::Primary];
 
+/// Whether the router of this place, among the real ones or among all hollow ones, is one of those that are restarted
+/// or stopped.
+pub fn is_struck(place: usize, one_in: usize) -> bool {
+    place.is_multiple_of(one_in.max(1))
+}
+
+/// Whether a real router that tells these counts knows again what it knew before the fault.
+pub fn follows(mode: Mode, now: &Sums, before: &Sums) -> bool {
+    let held = if mode == Mode::Feed { FIRST_COPIES } else { ALL_HELD };
+    now.following >= before.following && now.state as f64 >= before.state as f64 * held
+}
+
+/// Whether a control instance that has said these counts of its fleet came to be alone with its half in the time
+/// between.
+pub fn was_cut(duties: &[(u64, u64)], between: (u64, u64), half: u64) -> bool {
+    duties.iter().any(|(at, routers)| (between.0..between.1).contains(at) && *routers == half)
+}
+
+/// When it said for the last time how it shares duties, in seconds after `from_us`, if that was with all.
+pub fn shares_with_all_after(duties: &[(u64, u64)], from_us: u64, all: u64) -> Option<f64> {
+    let (at, routers) = duties.last()?;
+    (*routers == all).then(|| at.saturating_sub(from_us) as f64 / 1e6)
+}
+
 #[derive(Debug, thiserror::Error)]
 #[error("fault: expected restart, stop, cut, control or primary, found {0}")]
 pub struct NoFault(String);
