Capacity page: no time until all have where some had not; discovery as it is counted now

- A fault's time until all follow, agree or know was shown though the run counts some that had not when it ended.
Such a row is "not measured" and says how many; a smaller run, or another of that size, does not stand for it.
- `discovery_calls_s` and `discovery_bytes_s` are of one process that watches: the rows say so, and what all 7,908 ask is "not measured".
Bytes that discovery answers through a restart have a row.
- The mean over time at a database that all use, alone, is no peak and goes; the row of the worst second stays.

Tests: `a_time_until_all_have_is_none_where_some_had_not`, and each mechanism is a package or "none".

--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillpoint_feed::share::{CROWD, TIMES};
+use quillpoint_feed::share::TIMES;
 use quillpoint_fleet::letter::CARDS_WHOLE;
 use quillpoint_fleet::membership::MOST_PEERS;
 
@@ -54,6 +54,15 @@
 /// Until control instances that were cut from each other agree again. Only of a cut that parts them too.
 pub const AGREE: &str = "agree_max_s";
 
+/// Times until all have come somewhere, and the count of those that had not when the run ended: with any of these the
+/// time is that of the others.
+pub const NEVER: [(&str, &str); 4] = [
+    ("follow_max_s", "follow_missing"),
+    ("real_follow_max_s", "follow_missing"),
+    (AGREE, "agree_missing"),
+    ("change_known_max_s", "change_unknown"),
+];
+
 /// Faults by the names that measure/scale gives them.
 const RESTART: &str = "restart";
 const STOP: &str = "stop";
@@ -259,9 +268,10 @@
                 let source = calm(PLAYED, Mode::Feed, figure, shares());
                 ask(control, what, feed, budget, source, "feed, fleet, control")
             }));
-            for (what, figure) in
-                [("bytes a second", "discovery_bytes_s"), ("calls a second", "discovery_calls_s")]
-            {
+            for (what, figure) in [
+                ("bytes a second, of one that watches it", "discovery_bytes_s"),
+                ("calls a second, of one that watches it", "discovery_calls_s"),
+            ] {
                 let source = calm(PLAYED, Mode::Feed, figure, both());
                 rows.push(ask(discovery, what, any, Budget::None, source, "watch"));
             }
@@ -310,6 +320,7 @@
                 ),
             ]);
             for (role, what, by) in [
+                (discovery, "calls and bytes a second, of all 7,908 that watch it", "watch"),
                 (discovery, "processor time, cores", "watch"),
                 (discovery, "memory, bytes", "watch"),
                 (database, "bytes of probes a second", "fleet among control instances"),
@@ -548,12 +559,20 @@
             ),
             ask(
                 discovery,
-                "calls in all, a sixth restarted",
+                "calls from the fault to the end of the run, a sixth restarted",
                 any,
                 Budget::None,
                 fault(RESTART, "fault_discovery_calls"),
                 "watch",
             ),
+            ask(
+                discovery,
+                "bytes that it answers from the fault to the end of the run, a sixth restarted",
+                any,
+                Budget::None,
+                fault(RESTART, "fault_discovery_bytes_out"),
+                "watch: whole lists",
+            ),
             ask(
                 database,
                 "probes a second, a zone's databases back at once",
@@ -636,14 +655,6 @@
                 computed(&[TIMES, PROBES_S], 1.0, "crates/feed/src/share.rs"),
                 "feed: paced share",
             ),
-            ask(
-                database,
-                "probes a second, no control instance left, at one that all use, the mean over time",
-                feed,
-                Budget::None,
-                computed(&[CROWD, PROBES_S], 1.0, "crates/feed/src/share.rs"),
-                "feed: paced share",
-            ),
             // Each probes it once before its floor has passed, and nothing keeps them from the same second.
             ask(
                 database,
--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -4,7 +4,7 @@
 
 use super::Books;
 use super::asks::{
-    AGREE, Ask, Budget, CUT, DATABASES, Over, PERIOD_S, PLAYED, ROUTERS, SIMULATED, Side, Source,
+    AGREE, Ask, Budget, CUT, DATABASES, NEVER, Over, PERIOD_S, PLAYED, ROUTERS, SIMULATED, Side, Source,
 };
 use super::numbers::{down, part, show, up};
 use crate::fit;
@@ -538,17 +538,22 @@
         .into_iter()
         .find(|program| played.iter().any(|run| place(run) == at && run.program == *program))?;
     let there = played.iter().filter(|run| place(run) == at && run.program == newest);
-    let most = there.max_by(|one, other| one.is.total_cmp(&other.is))?;
+    let there: Vec<&Struck<'_>> = there.collect();
+    let never = there.iter().map(|run| run.never).fold(0.0, f64::max);
+    let most = there.into_iter().max_by(|one, other| one.is.total_cmp(&other.is))?;
     let largest = most.sizes;
     let mut row = empty(ask);
     row.record = cite(record, figure, mode, fault, newest);
-    row.figure = Some(up(most.is, 3));
-    row.sum = "played".to_string();
-    row.error = NO_FIGURE.to_string();
     row.at = format!("{} routers, {}", show(largest.routers as f64), held(largest, Axis::Routers));
     if fault == CUT && !most.parts_control && !is_simulated(largest) {
         row.at += "; the instances not cut";
     }
+    if never > 0.0 {
+        row.error = format!("{} had not when the run ended", show(never));
+        return Some(row);
+    }
+    row.figure = Some(up(most.is, 3));
+    row.sum = "played".to_string();
     row.is_below = (largest.routers as f64) < ROUTERS || (largest.databases as f64) < DATABASES;
     let by = if is_simulated(largest) { "simulated" } else { "measured" };
     row.is_beside = is_beside(largest, figure);
@@ -572,6 +577,8 @@
     program: Option<&'a str>,
     sizes: &'a Sizes,
     parts_control: bool,
+    /// How many had not come where the figure says when all had.
+    never: f64,
     is: f64,
 }
 
@@ -583,7 +590,9 @@
         }
         let parts_control = figures.contains_key(AGREE);
         let is = fit::figure(figures, bounds, figure)?;
-        Some(Self { program: program.as_deref(), sizes, parts_control, is })
+        let counts = NEVER.iter().filter(|(name, _)| *name == figure);
+        let never = counts.filter_map(|(_, count)| figures.get(*count)).sum();
+        Some(Self { program: program.as_deref(), sizes, parts_control, never, is })
     }
 }
 
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -295,6 +295,17 @@
         let most = there.filter(|(.., (figures, _))| is_so(figures));
         let most = most.filter_map(|(.., figures)| figure(figures, name)).reduce(f64::max);
         let most = most.ok_or("that fault was not played at that size")?;
+        let counts = [
+            ("follow", "follow_missing"),
+            ("agree_max_s", "agree_missing"),
+            ("change_known", "change_unknown"),
+        ];
+        let count = counts.iter().find(|(begin, _)| name.trim_start_matches("real_").starts_with(begin));
+        let mut there = runs().filter(|(fault, sizes, _)| *fault == Some(place) && is_there(sizes));
+        let some_never = there.any(|(.., (figures, _))| {
+            is_so(figures) && count.is_some_and(|(_, count)| figures.get(*count) > Some(&0.0))
+        });
+        ensure(!some_never, "it is a time until all had, and some had not")?;
         let whole = routers >= Some(ROUTERS) && databases >= Some(DATABASES);
         ensure(
             is_played && whole != kind.ends_with(" below the target"),
@@ -1240,6 +1251,39 @@
     assert!(refuted["error"].ends_with(": the crossing is wrong"), "{refuted:?}");
 }
 
+#[test]
+fn a_time_until_all_have_is_none_where_some_had_not() {
+    let restart = |routers: usize, missing: f64| {
+        run(Mode::Feed, routers, 500, Some("restart"), &[("follow_max_s", 0.5), ("follow_missing", missing)])
+    };
+    let shown = |name: &str, lines: &[Line]| {
+        let folder = Folder::new(name);
+        write(&folder.0.join(PLAYED), lines).expect("written");
+        let page = fill(&page(), &folder.0).expect("made");
+        assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+        row(&page, "router", "time until all follow again, a sixth restarted, s", "feed, restart")
+    };
+    let all = shown("all-follow", &[restart(1000, 0.0), restart(2000, 0.0)]);
+    assert_eq!((all["figure"].as_str(), all["basis"].as_str()), ("0.5", "measured below the target"));
+    // The smaller run in which all did, or another of the same size, does not stand for the one in which three did not.
+    let some = shown("some-follow", &[restart(1000, 0.0), restart(2000, 0.0), restart(2000, 3.0)]);
+    assert_eq!((some["figure"].as_str(), some["basis"].as_str()), ("–", "not measured"));
+    assert_eq!(some["error"], "3 had not when the run ended");
+    assert!(some["at"].starts_with("2,000 routers"), "{some:?}");
+}
+
+#[test]
+fn each_mechanism_is_a_package_or_none() {
+    for row in rows(&page()) {
+        let by = row["mechanism"].split(':').next().unwrap_or_default();
+        let names = by.split(", ").map(|name| name.split(' ').next().unwrap_or_default());
+        for name in names {
+            let is_package = repository().join("crates").join(name).join("Cargo.toml").is_file();
+            assert!(name == "none" || is_package, "{}: {}", row["what"], row["mechanism"]);
+        }
+    }
+}
+
 #[test]
 fn a_page_with_a_marker_too_few_or_unknown_is_refused() {
     let folder = Folder::new("markers");
