--- a/crates/rig/src/capacity/asks.rs
+++ b/crates/rig/src/capacity/asks.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillpoint_feed::share::TIMES;
+use quillpoint_feed::share::{CROWD, LOOKS, TIMES};
 use quillpoint_fleet::letter::CARDS_WHOLE;
 use quillpoint_fleet::membership::MOST_PEERS;
 
@@ -655,7 +655,23 @@
                 computed(&[TIMES, PROBES_S], 1.0, "crates/feed/src/share.rs"),
                 "feed: paced share",
             ),
-            // Each probes it once before its floor has passed, and nothing keeps them from the same second.
+            ask(
+                database,
+                "probes a second, no control instance left, at one that all use, over time no more than",
+                feed,
+                Budget::None,
+                computed(&[CROWD, PROBES_S], 1.0, "crates/feed/src/share.rs"),
+                "feed: paced share",
+            ),
+            ask(
+                database,
+                "probes a second, no control instance left, at one that all use, the mean while first looks are spread",
+                feed,
+                Budget::None,
+                computed(&[LOOKS], 1.0, "crates/feed/src/share.rs"),
+                "feed: paced share",
+            ),
+            // They are spread by chance: each probes it once before its floor has passed, in whichever second.
             ask(
                 database,
                 "probes in one second, no control instance left, the most that one that all use may get",
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -113,6 +113,21 @@
     assert_eq!(client.rpc("look", 9000), ok());
 }
 
+#[test]
+fn a_cancel_ends_the_statement_that_its_client_waits_for_and_none_behind_it() {
+    let (primary, replica, router, _discovery) = pair(&[], 200);
+    let (mut client, key) = keyed(router.address);
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Waits));
+    let all = [statement("enter", 9000), statement("look", 9000), statement("look", 9000)];
+    client.send(&all.iter().flat_map(|text| pg::query(text.as_bytes())).collect::<Vec<u8>>());
+    primary.await_queries(1);
+    cancel(router.address, &key);
+    assert_eq!(client.reply(), error("57014"));
+    [&primary, &replica].iter().for_each(|node| node.set(Does::Answers));
+    assert_eq!((client.reply(), client.reply()), (ok(), ok()), "what was asked behind it goes on");
+    assert_eq!(client.rpc("look", 9000), ok());
+}
+
 #[test]
 fn an_rpc_that_was_cancelled_while_its_connection_came_up_is_not_sent() {
     let (_, replica, router, _discovery) = pair(&[], 200);
@@ -188,10 +203,10 @@
     let node = Node::start(true);
     let list = targets(&[(&node, "primary", "in_service")]);
     let discovery = Discovery::start(list.clone());
-    // A connect may take 300 ms.
+    // A connect may take a second. A probe would wait no longer for its answer, and end the connection that it is on.
     let text = changed(
         &configuration(&discovery, &list, 200),
-        &[("5000.0,\"MaxAttempts\"", "300.0,\"MaxAttempts\"")],
+        &[("5000.0,\"MaxAttempts\"", "1000.0,\"MaxAttempts\""), (r#""Probes":true"#, r#""Probes":false"#)],
     );
     let router = Running::start(&text);
     node.greets(Greets::Hangs);
@@ -199,10 +214,23 @@
     client.ask(&statement("enter", 9000));
     // The first is over its time, as a second one has begun.
     until(|| count(&node.connections) >= 2);
-    node.greets(Greets::Welcomes);
+    // It comes up, and no other does: whatever is answered came over it.
+    node.greets(Greets::First(1));
     assert_eq!(client.reply(), ok());
     assert!((0..20).all(|_| client.rpc("enter", 9000) == ok()));
-    assert_eq!(count(&node.open), count(&node.connections), "all have been paid for, and serve");
+    assert_eq!(count(&node.welcomed), 1);
+    // Nor are those that come up when nobody waits for them any more lost.
+    let dialled = count(&node.connections);
+    node.greets(Greets::Welcomes);
+    until(|| count(&node.welcomed) == dialled);
+    assert!((0..20).all(|_| client.rpc("enter", 9000) == ok()));
+    node.set(Does::Waits);
+    let mut clients: Vec<Client> = (0..dialled).map(|_| router.client()).collect();
+    clients.iter_mut().for_each(|client| client.ask(&statement("enter", 9000)));
+    node.await_queries(41 + dialled);
+    node.set(Does::Answers);
+    assert!(clients.iter_mut().all(|client| client.reply() == ok()));
+    assert_eq!(count(&node.connections), dialled, "all have been paid for, and serve");
 }
 
 #[test]
