A test for the look whether a client is there at its statement's turn

A session that reads no further looks each 25 ms. Where a client's end comes between two looks and the answer that another statement waits for right behind it, nothing but the look at the turn itself (client.rs, `Clients::rpc`) keeps that statement from being begun. The bytes were held back by a later look in any case, so that no test saw this one go: the new one has the answer cost its connection, and counts whether the next turn opens one. Rounds in which the session took notice first say nothing and are repeated; five crossings are asked for.

--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -4,6 +4,8 @@
 mod standin;
 
 use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
 use quillpoint_router::pg;
@@ -13,6 +15,8 @@
 /// So many statements of a connection are in line at the most, and so many bytes behind them are read.
 const SIDE_BY_SIDE: usize = 16;
 const READ_AHEAD: usize = 16 * 1024;
+/// How often a session that reads no further looks whether its client is there.
+const LOOK_FOR_LEAVE: Duration = Duration::from_millis(25);
 
 fn ok() -> Reply {
     Reply::Value(VALUE.to_vec())
@@ -76,6 +80,14 @@
     }
 }
 
+fn await_true(mut there: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !there() {
+        assert!(began.elapsed() < Duration::from_secs(30), "it never came");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// RPCs of another client come and go: whatever a router does at once, it has done by then.
 fn others_go_on(router: &Running, class: &str) {
     let mut other = router.client();
@@ -224,6 +236,54 @@
     );
 }
 
+#[test]
+fn a_turn_that_comes_when_the_client_has_hung_up_is_not_taken() {
+    // Where the end comes between two looks of a session that reads no further, and a turn right behind it, nothing but
+    // the look at the turn itself tells.
+    let (mut rounds, mut crossings) = (0, 0);
+    while crossings < 5 {
+        rounds += 1;
+        assert!(rounds <= 100, "{crossings} crossings in {rounds} rounds");
+        crossings += usize::from(hangs_up_before_a_turn());
+    }
+}
+
+/// Whether the session took notice of the end no earlier than of the answer that makes the turn.
+fn hangs_up_before_a_turn() -> bool {
+    let (primary, _, router, _discovery) = group(1, &[(r#""Probes":true"#, r#""Probes":false"#)]);
+    primary.set(Does::Waits);
+    let mut client = router.client();
+    // Writes of a group wait for each other. The end lies behind more than is read ahead.
+    let all: Vec<String> = (0..300).map(|_| of("a", "enter", 9000)).collect();
+    send_all(&mut client, &all);
+    primary.await_queries(1);
+    let mut other = router.client();
+    // Whatever a router does at once, it has done by then.
+    let settles = |other: &mut Client, times: usize| {
+        (0..times).for_each(|_| {
+            other.ask("");
+            assert_eq!(other.reply(), Reply::Empty);
+        });
+    };
+    settles(&mut other, 10);
+    // What came no longer ago than a session looks is not looked at again.
+    std::thread::sleep(2 * LOOK_FOR_LEAVE);
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    // What is sent behind the end comes behind it.
+    settles(&mut other, 1);
+    // More than an answer costs the connection, so that the next statement's turn would open one of its own.
+    primary.set(Does::Adds(b"N\0\0\0\x05\0"));
+    let reply = client.reply();
+    settles(&mut other, 10);
+    // Those that came before this one have been counted when it is.
+    let _last = TcpStream::connect(primary.address).unwrap();
+    await_true(|| primary.connections.load(SeqCst) >= 2);
+    assert_eq!(primary.connections.load(SeqCst), 2, "a turn was taken for nobody");
+    assert_eq!(primary.queries().len(), 1);
+    assert!(reply == ok() || reply == Reply::Gone, "{reply:?}");
+    reply == ok()
+}
+
 #[test]
 fn what_is_read_ahead_is_bounded_by_statements_and_by_bytes() {
     let (primary, replicas, mut router, _discovery) = group(3, &[("9000.0", "2500.0")]);
