--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -111,10 +111,22 @@
     pub alike: Vec<(Entry, Vec<SocketAddr>)>,
 }
 
+/// What has waited longer than this is worth nothing.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+impl Digest {
+    /// It has waited for so long in the receiver's own socket: as though sent so much later, and as much older. `None`
+    /// where it is worth nothing any more.
+    pub fn waited(self, span: Duration) -> Option<Self> {
+        let (sent, age) = (self.sent.saturating_add(span), self.age.saturating_add(span));
+        (span <= LONGEST_WAIT).then_some(Self { sent, age, ..self })
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// From a router: send me digests from now on, for a while. Said again and again; it does no more than ask, and is
-    /// all that may be said before the other's start is known.
+    /// From a router: send me digests from now on, for a short while. Said until the first has come; it does no more than
+    /// ask, and is all that may be said before the other's start is known.
     Subscribe,
     /// From a router: I need no more digests.
     Unsubscribe,
@@ -126,6 +138,19 @@
     Full,
     /// From a control instance: it ends.
     Leaving,
+    /// From a router that has been told: go on. It names the other's start, which only who takes its digests knows, so
+    /// that it shows where the router is, as no recorded `Subscribe` does.
+    Renew,
+}
+
+impl Message {
+    /// As it is worth after so long in the receiver's own socket, where it is worth anything.
+    pub fn waited(self, span: Duration) -> Option<Self> {
+        match self {
+            Self::Digest(digest) => digest.waited(span).map(Self::Digest),
+            other => Some(other),
+        }
+    }
 }
 
 /// A message with whom it is from.
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -35,18 +35,26 @@
 const FULL: Duration = Duration::from_secs(10);
 /// When the one that stands further in front is tried again, about.
 const RETURN: Duration = Duration::from_secs(10);
-/// The first digests tell only how long the way is.
+/// The first digests tell only how long the way is. Those that come within half of their interval count as one: they
+/// may have waited for this router together.
 const MEASURED: u32 = 2;
+/// One whose way was so much shorter than any before it shows that they had waited somewhere, and it may have as well:
+/// it only measures.
+const QUICKER: Duration = Duration::from_millis(50);
 /// A digest that is later than this is worth nothing; nor is what it says of the way.
 const LATEST: Duration = Duration::from_secs(2);
 /// No datagram is under way for so long: which start of one was the last does not matter any more. Its copy may still be
 /// of use for a while: where nothing has changed, none need be fetched anew.
 const REMEMBERED: Duration = Duration::from_secs(10);
 const KEPT: Duration = Duration::from_secs(60);
-/// So many parts are asked for at a time, again after this, and twice as long after each further try.
+/// So many parts are asked for at a time, again after this, and twice as long after each further try, up to a bound that
+/// no chance goes beyond: a part whose copy has been lost several times over ages meanwhile. A publisher notes a part once
+/// however often it is asked for, and paces what it sends.
 const IN_FLIGHT: usize = 16;
-const PULL_AGAIN: Duration = Duration::from_millis(400);
-const PULL_TRIES: u32 = 4;
+const PULL_AGAIN: Duration = Duration::from_millis(600);
+const PULL_MOST: Duration = Duration::from_millis(1600);
+/// What chance leaves of it: the first answer has 400 ms.
+const PULL_LEAST: f64 = 2.0 / 3.0;
 /// A second copy of what one has told is asked for after once to twice this, when the rush is over.
 const SECOND_COPY: Duration = Duration::from_secs(3);
 /// Periods beyond these are nobody's.
@@ -83,9 +91,10 @@
     spoke: Duration,
     ask: Duration,
     told: Told,
-    /// The way of its digests, and how many came since then.
+    /// The way of its digests, how many came since then, and when the last of these was counted.
     way: Shortest,
     digests: u32,
+    counted: Option<Duration>,
     /// The parts that its last digest names another revision of.
     pulls: BTreeMap<PartId, Pull>,
     /// From when on it may be asked for a copy although there is one of another's.
@@ -135,7 +144,7 @@
 
     /// Another process of that name: nothing of the earlier one holds.
     fn start_anew(&mut self) {
-        (self.way, self.digests, self.second) = (Shortest::default(), 0, None);
+        (self.way, self.digests, self.counted, self.second) = (Shortest::default(), 0, None, None);
         self.pulls.clear();
     }
 }
@@ -206,7 +215,10 @@
         match followed.told.came(start) {
             Start::Earlier => return,
             Start::Same => {}
-            Start::Later => followed.start_anew(),
+            Start::Later => {
+                followed.start_anew();
+                followed.ask = now;
+            }
         }
         match message {
             Message::Digest(digest) => self.digest(now, place, digest),
@@ -214,7 +226,7 @@
             Message::Full => self.give_up(now, from, FULL),
             Message::Leaving => self.give_up(now, from, LEFT_ALONE * 4),
             // What a router says is no matter of another's.
-            Message::Subscribe | Message::Unsubscribe | Message::Pull(_) => {}
+            Message::Subscribe | Message::Renew | Message::Unsubscribe | Message::Pull(_) => {}
         }
     }
 
@@ -227,21 +239,27 @@
         if !whole || !followed.told.count(number) {
             return;
         }
+        let quicker = followed.way.quicker(now, sent);
         let late = followed.way.late(now, sent);
         if late > LATEST {
             return;
         }
-        followed.digests = followed.digests.saturating_add(1);
+        if followed.counted.is_none_or(|at| at + self.plan.every / 2 <= now) {
+            (followed.digests, followed.counted) = (followed.digests.saturating_add(1), Some(now));
+        }
         followed.spoke = now;
         if followed.heard.replace(now).is_none() {
+            // Answered at once: until then it is told on trial.
+            followed.ask = now;
             self.gone.remove(&name);
             self.host.tell(Event::Following(name));
+            self.ask(now);
         }
         self.spoken = now;
         self.share.basis_changed(now, Basis { period: period.clamp(LEAST_PERIOD, MOST_PERIOD), routers });
         self.look(now);
         let followed = &mut self.followed[place];
-        if followed.digests <= MEASURED {
+        if followed.digests <= MEASURED || quicker > QUICKER {
             return;
         }
         // What was late is as much older: the age counts from the sending.
@@ -385,7 +403,7 @@
                 }
                 // The way may be another by now.
                 let way = Shortest::default();
-                Followed { since: now, ask: now, digests: 0, way, second: None, ..rested }
+                Followed { since: now, ask: now, digests: 0, counted: None, way, second: None, ..rested }
             }
             None => Followed {
                 control,
@@ -396,6 +414,7 @@
                 told,
                 way: Shortest::default(),
                 digests: 0,
+                counted: None,
                 pulls: BTreeMap::new(),
                 second: None,
             },
@@ -433,15 +452,17 @@
         }
     }
 
-    /// Subscriptions are said again and again.
+    /// Subscriptions are said again and again, by the other's start as soon as it has spoken.
     fn ask(&mut self, now: Duration) {
         for followed in &mut self.followed {
             if followed.ask > now {
                 continue;
             }
-            let again = if followed.heard.is_some() { ASK_EVERY } else { ASK_FIRST };
+            let start = followed.start().filter(|_| followed.heard.is_some());
+            let again = if start.is_some() { ASK_EVERY } else { ASK_FIRST };
             followed.ask = now + again.mul_f64(self.chance.random_range(0.8..1.2));
-            self.host.send(followed.control.address, None, Message::Subscribe);
+            let message = if start.is_some() { Message::Renew } else { Message::Subscribe };
+            self.host.send(followed.control.address, start, message);
         }
     }
 
@@ -478,8 +499,8 @@
             }
             for part in &parts {
                 let Some(pull) = followed.pulls.get_mut(part) else { continue };
-                let again = PULL_AGAIN * (1 << pull.tries.min(PULL_TRIES));
-                pull.due = now + again.mul_f64(self.chance.random_range(1.0..1.5));
+                let again = PULL_AGAIN.saturating_mul(1 << pull.tries.min(16)).min(PULL_MOST);
+                pull.due = now + again.mul_f64(self.chance.random_range(PULL_LEAST..1.0));
                 pull.tries = pull.tries.saturating_add(1);
             }
             if !parts.is_empty() {
