--- a/crates/feed/src/publisher.rs
+++ b/crates/feed/src/publisher.rs
@@ -20,11 +20,17 @@
 const HASTE: u32 = 5;
 /// Who has not subscribed again for so long is forgotten: a few misses of one a second.
 pub const LEASE: Duration = Duration::from_secs(4);
+/// The same as long as its address is not validated (as in RFC 9000, section 8): a wish to subscribe may have been
+/// recorded before this start, and be sent again from elsewhere. A router answers the first digest.
+pub const TRIAL: Duration = Duration::from_millis(1200);
 /// Nothing is told before databases have been listed for so many periods: what one that has just started has not seen
 /// yet would be told as unseen, and then as seen, of each.
 const SETTLE_PERIODS: u32 = 4;
 /// So much of the budget of copies may be saved up, in seconds of it.
 const SAVED: f64 = 0.05;
+/// No more of them leave at once, so that they find room in the socket, and the rest so much later.
+const COPIES_AT_ONCE: usize = 64 * 1024;
+const COPIES_AGAIN: Duration = Duration::from_millis(2);
 /// About what a datagram costs besides its entries.
 const HEAD_BYTES: usize = 90;
 /// How often the counts are told, where they have changed.
@@ -44,6 +50,8 @@
 
 struct Subscriber {
     address: SocketAddr,
+    /// It has named this control instance's start from there, so that nothing recorded turns its digests elsewhere.
+    validated: bool,
     start: Incarnation,
     until: Duration,
     /// Decides in which lot of a round it is served.
@@ -134,12 +142,18 @@
             return;
         }
         match message {
-            Message::Subscribe => self.subscribe(now, from, who, start),
-            Message::Unsubscribe => _ = self.subscribers.remove(who),
+            Message::Subscribe => self.subscribe(now, from, who, start, false),
+            Message::Renew => self.subscribe(now, from, who, start, true),
+            Message::Unsubscribe => {
+                if self.subscribers.remove(who).is_some_and(|known| known.wants != 0) {
+                    self.queue.retain(|waiting| waiting != who);
+                }
+            }
             Message::Pull(parts) => {
                 let Some(known) = self.subscribers.get_mut(who).filter(|known| known.start == start) else {
                     return;
                 };
+                (known.address, known.validated, known.until) = (from, true, now + LEASE);
                 let waits = known.wants != 0;
                 parts.iter().filter(|part| usize::from(part.0) < PARTS).for_each(|part| {
                     known.wants |= 1 << part.0;
@@ -153,15 +167,30 @@
         }
     }
 
-    fn subscribe(&mut self, now: Duration, from: SocketAddr, who: &PeerName, start: Incarnation) {
-        let until = now + LEASE;
+    /// `validates`: it names this start, and so comes from where the router is.
+    fn subscribe(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        who: &PeerName,
+        start: Incarnation,
+        validates: bool,
+    ) {
+        let until = now + if validates { LEASE } else { TRIAL };
         if let Some(known) = self.subscribers.get_mut(who) {
             if known.start != start {
                 // It has started anew, and asks for what it needs.
-                known.wants = 0;
+                (known.wants, known.validated) = (0, false);
                 self.queue.retain(|waiting| waiting != who);
+            } else if known.validated && !validates {
+                // From elsewhere it is a recording; from there it is a router that has missed digests.
+                if known.address == from {
+                    known.until = known.until.max(until);
+                }
+                return;
             }
             (known.address, known.start, known.until) = (from, start, until);
+            known.validated |= validates;
             return;
         }
         if self.subscribers.len() >= self.plan.most_subscribers {
@@ -172,7 +201,8 @@
             return self.host.send(from, Some(start), Message::Full);
         }
         let lot = self.chance.next_u32();
-        self.subscribers.insert(who.clone(), Subscriber { address: from, start, until, lot, wants: 0 });
+        let subscriber = Subscriber { address: from, validated: validates, start, until, lot, wants: 0 };
+        self.subscribers.insert(who.clone(), subscriber);
     }
 
     pub fn timer_fired(&mut self, now: Duration) {
@@ -189,8 +219,9 @@
             // One that stood still goes on from now, and does not make up for what it has missed.
             self.next = if now > self.next + self.plan.every { now + step } else { self.next + step };
         }
-        self.serve_copies(now);
-        self.host.wake(self.next.saturating_sub(now));
+        let more = self.serve_copies(now);
+        let next = self.next.saturating_sub(now);
+        self.host.wake(if more { next.min(COPIES_AGAIN) } else { next });
     }
 
     /// What the digests of a round say is settled here, but for what holds at the moment of sending.
@@ -236,12 +267,15 @@
     }
 
     /// Copies go out one part at a time, each subscriber in its turn, as long as the budget has something left.
-    fn serve_copies(&mut self, now: Duration) {
+    /// Whether more could go out than may at once.
+    fn serve_copies(&mut self, now: Duration) -> bool {
+        let mut sent = 0;
         // None goes out before the first digest: nothing is settled until then.
-        while self.digest.is_some()
-            && self.copies.has(now, 0.0)
-            && let Some(who) = self.queue.pop_front()
-        {
+        while self.digest.is_some() && self.copies.has(now, 0.0) && !self.queue.is_empty() {
+            if sent >= COPIES_AT_ONCE {
+                return true;
+            }
+            let Some(who) = self.queue.pop_front() else { break };
             let Some(known) = self.subscribers.get_mut(&who).filter(|known| known.wants != 0) else {
                 continue;
             };
@@ -252,12 +286,14 @@
             for chunk in self.book.copy(PartId(part as u8)) {
                 let bytes = HEAD_BYTES + size::chunk(&chunk);
                 self.copies.spend(bytes as f64);
+                sent += bytes;
                 self.host.send(known.address, Some(known.start), Message::Chunk(chunk));
             }
             if known.wants != 0 {
                 self.queue.push_back(who);
             }
         }
+        false
     }
 
     /// Each router follows two, where there are two.
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -75,16 +75,25 @@
 impl Load {
     /// So many clients at each router, each of which asks once in `every`: a write among three reads.
     pub fn start(routers: &[SocketAddr], clients: usize, every: Duration) -> Self {
-        Self::of(routers, clients, every, &["recent", "look", "recent", "enter"], 1)
+        Self::of(routers, clients, every, &["recent", "look", "recent", "enter"])
     }
 
-    /// The same of these methods in turn: `recent` (bounded reads), `look` (any reads) and `enter` (writes); the
-    /// statements of a router go to so many groups in turn.
+    /// The same of these methods in turn: `recent` (bounded reads), `look` (any reads) and `enter` (writes).
     pub fn of(
         routers: &[SocketAddr],
         clients: usize,
         every: Duration,
         methods: &'static [&'static str],
+    ) -> Self {
+        Self::of_groups(routers, clients, every, methods, 1)
+    }
+
+    /// The same, where the statements of a router go to so many groups in turn.
+    pub fn of_groups(
+        routers: &[SocketAddr],
+        clients: usize,
+        every: Duration,
+        methods: &'static [&'static str],
         groups: usize,
     ) -> Self {
         let (tally, outages, stop) =
--- a/crates/rig/src/scale/clients.rs
+++ b/crates/rig/src/scale/clients.rs
@@ -37,7 +37,7 @@
             }
         }
         let every = Duration::from_secs_f64(ASKING as f64 / statements.clamp(1e-3, 1e6));
-        let load = (statements > 0.0).then(|| Load::of(routers, ASKING, every, &["look"], groups));
+        let load = (statements > 0.0).then(|| Load::of_groups(routers, ASKING, every, &["look"], groups));
         Ok(Self { load, _staying: staying })
     }
 
