--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -112,7 +112,12 @@
 /// Whether calibration did not fail on a figure.
 fn stands(bounds: &[Bound], name: &str) -> bool {
     let of_routers = name.strip_prefix("router_");
-    let is_broken = |bound: &Bound| !bound.held && bound.figure.strip_prefix("calibration_") == of_routers;
+    // Nor is there a calibration where what it rests on is lost in its error.
+    let of_bound = |bound: &Bound| {
+        let name = bound.figure.strip_prefix("calibration_")?;
+        Some(name.strip_suffix("_error").unwrap_or(name).to_string())
+    };
+    let is_broken = |bound: &Bound| !bound.held && of_bound(bound).as_deref() == of_routers;
     of_routers.is_none() || !bounds.iter().any(is_broken)
 }
 
