A control instance has the budgets that its databases take, not those of a small fleet

Seen: 250 routers before 9,000 databases and 8 control instances did not settle in 60 s on sockets, twice: 0 of 234 hollow routers followed. 6,000 databases settled. Each instance was at 0.6 of a core, so the machine was not it.

Cause: `news-budget` is 2 MiB a second unless it is said. Eight instances that each tell seven others of 7,500 findings a second need more, and what is over waits behind what is newer: the same databases are untold ever, their parts grow old, and nobody follows. At the target it is 4 MB a second (computed), and `work-budget`, 2,000 probes a second, is seven times too small for 14,062. Neither was ever met: `quillpoint-lab feed` raised both by itself, and `measure/scale` wrote a work-budget into its files, so real processes ran with other values than the defaults. Ruled out: the limit of letters (2,100 a second came of 20,000), the machine (6.9 of 8 cores busy).

Change: in a fleet of control instances (`publish` beside `fleet`) both budgets grow with the list, to twice what probing all databases takes and telling of it, where that is more than was said (`Plans::for_nodes`). A fleet of routers keeps its fixed ones. The lab and the scale run leave it to the program.

--- a/crates/conf/src/directives.rs
+++ b/crates/conf/src/directives.rs
@@ -180,7 +180,8 @@
         kind: Kind::Size { least: 4 << 10, most: 1 << 30 },
         default: Default::Is("2MiB"),
         holds: Holds::Start,
-        about: "So many bytes of news a second go to all peers together; the newest go first.",
+        about: "So many bytes of news a second go to all peers together; the newest go first. A control instance: \
+                twice what telling of all databases takes, where that is more.",
     },
     Directive {
         section: "fleet",
@@ -188,7 +189,8 @@
         kind: Kind::Count { least: 1, most: 1_000_000 },
         default: Default::Is("2000"),
         holds: Holds::Start,
-        about: "So much background work a second, in the units of `cost`.",
+        about: "So much background work a second, in the units of `cost`. A control instance: twice what probing \
+                all databases takes, where that is more.",
     },
     Directive {
         section: "fleet",
--- a/crates/control/tests/queue.rs
+++ b/crates/control/tests/queue.rs
@@ -84,7 +84,7 @@
         priority: Priority(0),
         cost: 1.0,
     };
-    let plans = Plans { probe, work_rate: 100.0, work_burst: 100.0, news_rate: 1e6 };
+    let plans = Plans { probe, work_rate: 100.0, work_burst: 100.0, news_rate: 1e6, grows: false };
     let port = UdpSocket::bind(local()).unwrap();
     let listen = port.local_addr().unwrap();
     drop(port);
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -25,7 +25,7 @@
 const ROUNDING: Duration = Duration::from_millis(2);
 /// About the bytes of a letter, and of each piece of news in it.
 const LETTER_BYTES: f64 = 160.0;
-const NEWS_BYTES: f64 = 40.0;
+pub const NEWS_BYTES: f64 = 40.0;
 /// So many seconds of the budget may be saved up.
 const SAVED: f64 = 0.25;
 
@@ -95,6 +95,11 @@
         }
     }
 
+    /// From now on so many bytes a second may be told.
+    pub fn budget_changed(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
     /// This router found this out itself, by what it asked at `asked`. Names the peer whose word it contradicts,
     /// if it does.
     pub fn found(&mut self, now: Duration, asked: Duration, news: News) -> Option<PeerName> {
--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -130,6 +130,11 @@
             schedule(&mut self.scheduler, id, duty);
         }
     }
+    /// From now on the budget is this one.
+    pub fn budget_changed(&mut self, rate: f64, burst: f64) {
+        self.scheduler.budget_changed(rate, burst);
+    }
+
 
     /// This router's own doing has ended; how long it takes does not matter to the next.
     pub fn ended(&mut self, now: Duration, id: DutyId) {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::book::{Book, Verdict};
+use crate::book::{Book, NEWS_BYTES, Verdict};
 use crate::duties::{Duties, Plan};
 use crate::host::{Event, Host};
 use crate::ids::{DutyId, PeerName, Subject};
@@ -31,6 +31,23 @@
     pub work_burst: f64,
     /// The budget of news to peers, in bytes a second.
     pub news_rate: f64,
+    /// Probing is what this member is for, as of a control instance: neither budget is below what the listed nodes
+    /// take by [`HEADROOM`]. One that is short leaves the same nodes unprobed, or untold, ever.
+    pub grows: bool,
+}
+
+/// So many times what probing all nodes takes, and telling the others of it: the rest of the fleet may be gone.
+const HEADROOM: f64 = 2.0;
+
+impl Plans {
+    /// With the budgets that so many nodes take, where those are larger and may grow.
+    fn for_nodes(&self, nodes: usize) -> Self {
+        let probes = if self.grows { nodes as f64 / self.probe.period.as_secs_f64() } else { 0.0 };
+        let work_rate = self.work_rate.max(probes * self.probe.cost * HEADROOM);
+        let work_burst = self.work_burst * (work_rate / self.work_rate);
+        let news_rate = self.news_rate.max(probes * NEWS_BYTES * HEADROOM);
+        Self { work_rate, work_burst, news_rate, ..*self }
+    }
 }
 
 pub struct Fleet<H: Host> {
@@ -117,6 +134,9 @@
         self.book.nodes_changed(&all);
         let subjects = nodes.iter().map(|(node, zone)| (Subject::Node(*node), *zone)).collect();
         self.duties.subjects_changed(now, self.plans.probe, &subjects);
+        let Plans { work_rate, work_burst, news_rate, .. } = self.plans.for_nodes(nodes.len());
+        self.duties.budget_changed(work_rate, work_burst);
+        self.book.budget_changed(news_rate);
         self.recount = true;
     }
 
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -54,6 +54,11 @@
 
     /// Enters the job, or moves it to another time.
     pub fn set(&mut self, job: J, due: Duration, priority: Priority, cost: f64) {
+    /// From now on the budget is this one. What has been saved stays, as far as it may be.
+    pub fn budget_changed(&mut self, rate: f64, burst: f64) {
+        (self.rate, self.burst) = (rate, burst);
+    }
+
         if let Some(known) = self.jobs.get_mut(&job) {
             match known.queued {
                 Queued::Due(at) if at <= due => {
--- a/crates/lab/src/feed_run.rs
+++ b/crates/lab/src/feed_run.rs
@@ -125,11 +125,8 @@
 
     fn shape(&self) -> Shape {
         let mut plans = plans(self.period, self.period, self.period);
-        // A control instance's share of the probing is its only work, and all that it finds is told to the others.
-        let probes = self.nodes as f64 / self.period.as_secs_f64() / self.control as f64;
-        plans.work_rate = plans.work_rate.max(2.0 * probes);
-        plans.work_burst = plans.work_burst.max(0.2 * probes);
-        plans.news_rate = plans.news_rate.max(80.0 * probes * self.control as f64);
+        // As of the program's control instances.
+        plans.grows = true;
         Shape {
             routers: self.routers,
             control: self.control,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -53,7 +53,7 @@
         priority: Priority(0),
         cost: 1.0,
     };
-    Plans { probe, work_rate: 20_000.0, work_burst: 2_000.0, news_rate: 4e6 }
+    Plans { probe, work_rate: 20_000.0, work_burst: 2_000.0, news_rate: 4e6, grows: false }
 }
 
 /// What a router asked for during one call, and the evidence it was given.
--- a/crates/rig/src/scale/member.rs
+++ b/crates/rig/src/scale/member.rs
@@ -122,12 +122,18 @@
                 "fleet {{\n    listen {listen}\n    advertise {advertise}\n    keys fleet.keys\n}}\n"
             );
             text += &format!("duty probe {{\n    every {every}ms\n}}\n");
-            // All of them twice over, should the others be gone: a budget that is short would be measured instead.
-            let all = self.sizes.databases as f64 / self.sizes.period_s;
-            text = text.replace(
-                "    keys fleet.keys\n",
-                &format!("    keys fleet.keys\n    work-budget {}\n", (all * 2.0).ceil().clamp(2000.0, 1e6)),
-            );
+            if kind != Kind::Control {
+                // All of them twice over, should the others be gone, as a control instance reckons by itself: a budget
+                // that is short would be measured instead.
+                let all = self.sizes.databases as f64 / self.sizes.period_s;
+                text = text.replace(
+                    "    keys fleet.keys\n",
+                    &format!(
+                        "    keys fleet.keys\n    work-budget {}\n",
+                        (all * 2.0).ceil().clamp(2000.0, 1e6)
+                    ),
+                );
+            }
             let of_fleet = |address: &Address| self.of_fleet(address.datagrams);
             let control: Vec<SocketAddr> = self.control.iter().map(of_fleet).collect();
             let peers = if kind == Kind::Control { &control[..] } else { self.routers };
--- a/crates/router/src/part.rs
+++ b/crates/router/src/part.rs
@@ -95,6 +95,7 @@
             // A tenth of a second's work may come at once.
             work_burst: (rate / 10.0).max(1.0),
             news_rate: count("news-budget")? as f64,
+            grows: conf.has_section("publish"),
         },
         letters: count("letters")?,
     }))
--- a/crates/router/tests/feed.rs
+++ b/crates/router/tests/feed.rs
@@ -323,6 +323,22 @@
     assert!(five.store.nodes.iter().all(|node| node.stale() == 0));
 }
 
+/// Guards against budgets of a small fleet at a control instance, which would leave databases unprobed and untold.
+#[test]
+fn a_control_instance_has_the_budgets_that_its_databases_take_whatever_it_is_told() {
+    let mut five = Five::new("budgets", &[20, 20], "50ms");
+    for place in CONTROL {
+        let short = "fleet.keys\n    work-budget 1\n    news-budget 4KiB\n";
+        five.write(place, &five.instance(place, "50ms").replace("fleet.keys\n", short));
+    }
+    five.routers.start_all().unwrap();
+    ROUTERS.iter().for_each(|place| five.follows(*place, &["r0", "r1"]));
+    let load = five.rare_reads();
+    five.calm(&CONTROL);
+    five.kept(&load.end());
+    assert!(five.store.nodes.iter().all(|node| node.stale() == 0));
+}
+
 #[test]
 fn a_replica_that_is_named_as_an_exception_gets_no_bounded_read() {
     let five = Five::started("stale", &[20, 2000], "50ms");
