--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -212,6 +212,11 @@
         may
     }
 
+    /// What peers have told of a node last, where that is of use yet.
+    pub fn told_of(&self, node: SocketAddr) -> Option<Evidence> {
+        self.fleet.borrow().told_of(self.around.now(), node)
+    }
+
     pub fn traffic(&self) -> Traffic {
         self.post.traffic()
     }
--- a/crates/feed/src/shelf.rs
+++ b/crates/feed/src/shelf.rs
@@ -1,18 +1,19 @@
 //! A map that is gone through and looked up thousands of times for each time that something is entered: keys lie side by
 //! side in their order, and so do values; a hash finds the place of each.
 
-use std::collections::HashMap;
 use std::hash::Hash;
 
+use quillpoint_fleet::quick::QuickMap;
+
 pub struct Shelf<K, V> {
     keys: Vec<K>,
     values: Vec<V>,
-    places: HashMap<K, usize>,
+    places: QuickMap<K, usize>,
 }
 
 impl<K, V> Default for Shelf<K, V> {
     fn default() -> Self {
-        Self { keys: Vec::new(), values: Vec::new(), places: HashMap::new() }
+        Self { keys: Vec::new(), values: Vec::new(), places: QuickMap::default() }
     }
 }
 
--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -5,13 +5,14 @@
 //! look for oneself, and counts only once several routers have failed by themselves. A peer whose word a node's
 //! own answer contradicts is not believed for a while.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::host::Evidence;
 use crate::ids::PeerName;
 use crate::letter::{NEWS_ALONG, NEWS_ROOM, News};
+use crate::quick::QuickMap;
 
 /// Older news than this is of no use to anybody.
 pub const OLDEST: Duration = Duration::from_secs(10);
@@ -62,7 +63,7 @@
 pub struct Book {
     me: PeerName,
     /// By hash, as each piece of news looks one up; the record goes by address.
-    nodes: HashMap<SocketAddr, Known>,
+    nodes: QuickMap<SocketAddr, Known>,
     /// Own findings that have not been sent.
     fresh: BTreeSet<SocketAddr>,
     distrusted: BTreeMap<PeerName, Duration>,
@@ -72,12 +73,20 @@
     counted: Duration,
 }
 
+/// What an answer that a peer tells of shows; what lies ahead of this router's clock shows nothing.
+fn evidence(now: Duration, at: Duration, news: &News) -> Evidence {
+    let &News { node, position, primary, waiting, started, .. } = news;
+    let past = |time: &Duration| *time <= now;
+    let (position, started) = (position.filter(past), started.filter(past));
+    Evidence { node, at, position, primary, waiting, started, failed: false }
+}
+
 impl Book {
     /// `rate` is in bytes a second, to all peers together.
     pub fn new(me: PeerName, rate: f64, now: Duration) -> Self {
         Self {
             me,
-            nodes: HashMap::new(),
+            nodes: QuickMap::default(),
             fresh: BTreeSet::new(),
             distrusted: BTreeMap::new(),
             rate,
@@ -86,6 +95,11 @@
         }
     }
 
+    /// From now on so many bytes a second may be told.
+    pub fn budget_changed(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
     /// The nodes there are. Nothing is kept of any other.
     pub fn nodes_changed(&mut self, nodes: &BTreeSet<SocketAddr>) {
         self.nodes.retain(|node, _| nodes.contains(node));
@@ -95,11 +109,6 @@
         }
     }
 
-    /// From now on so many bytes a second may be told.
-    pub fn budget_changed(&mut self, rate: f64) {
-        self.rate = rate;
-    }
-
     /// This router found this out itself, by what it asked at `asked`. Names the peer whose word it contradicts,
     /// if it does.
     pub fn found(&mut self, now: Duration, asked: Duration, news: News) -> Option<PeerName> {
@@ -130,15 +139,7 @@
         self.distrusted.remove(by);
         let at = now.saturating_sub(news.age);
         let Some(known) = self.nodes.get_mut(&news.node) else { return Verdict::Dropped };
-        let mut evidence = Evidence {
-            node: news.node,
-            at,
-            position: news.position.filter(|position| *position <= now),
-            primary: news.primary,
-            waiting: news.waiting,
-            started: news.started.filter(|started| *started <= now),
-            failed: false,
-        };
+        let mut evidence = evidence(now, at, &news);
         if news.failed {
             // What was heard of the node since outweighs it.
             let heard = known.own.iter().chain(&known.told).any(|found| found.at > at && !found.news.failed);
@@ -165,6 +166,12 @@
         Verdict::Believed(evidence)
     }
 
+    /// What peers have told of a node last, where that is of use yet.
+    pub fn told_of(&self, now: Duration, node: SocketAddr) -> Option<Evidence> {
+        let Found { at, news } = self.nodes.get(&node)?.told.as_ref()?;
+        (now.saturating_sub(*at) <= OLDEST).then(|| evidence(now, *at, news))
+    }
+
     /// Own findings that are due to be sent to so many peers, newest first, in letters; what the budget does not
     /// allow now waits, and what is too old by then is never sent.
     pub fn outgoing(&mut self, now: Duration, peers: usize) -> Vec<Vec<News>> {
--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -7,10 +7,11 @@
 //! so do it no more often together than one alone, as long as their letters arrive. Whatever the views and letters
 //! say, a router does a duty no more often than once in its floor.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::{DutyId, KindId, PeerName, Subject};
+use crate::quick::QuickMap;
 use crate::rendezvous::{self, Candidate};
 use crate::scheduler::{Priority, Scheduler};
 
@@ -43,6 +44,8 @@
     place: Option<u32>,
     /// From when on it is owed where nobody has done it yet.
     since: Duration,
+    /// There is reason to do it then, sooner than it is due.
+    hurried: Option<Duration>,
 }
 
 /// The rule of hand-over, all of it: when the router that so many stand before would do a duty, by what it knows of
@@ -60,12 +63,17 @@
         });
         Some(due(&self.plan, self.done, self.since, rested, self.place?))
     }
+
+    /// The same, with what there is reason to do sooner.
+    fn wanted(&self) -> Option<Duration> {
+        self.hurried.or_else(|| self.due())
+    }
 }
 
 pub struct Duties {
     me: PeerName,
     /// By hash, as each piece of news looks one up; whoever goes through all of them does the same to each.
-    duties: HashMap<DutyId, Duty>,
+    duties: QuickMap<DutyId, Duty>,
     candidates: Vec<Candidate>,
     scheduler: Scheduler<DutyId>,
 }
@@ -74,7 +82,7 @@
     /// With a budget in cost units a second and the most that may be saved of it.
     pub fn new(me: PeerName, rate: f64, burst: f64, now: Duration) -> Self {
         let scheduler = Scheduler::new(rate, burst, now);
-        Self { me, duties: HashMap::new(), candidates: Vec::new(), scheduler }
+        Self { me, duties: QuickMap::default(), candidates: Vec::new(), scheduler }
     }
 
     /// The routers that own duties by now. This one owns none while it is not among them. Whether they are others
@@ -115,26 +123,32 @@
                 running: false,
                 place,
                 since,
+                hurried: None,
             });
             (duty.plan, duty.zone, duty.place) = (plan, *zone, place);
             schedule(&mut self.scheduler, id, duty);
         }
     }
 
+    /// From now on the budget is this one.
+    pub fn budget_changed(&mut self, rate: f64, burst: f64) {
+        self.scheduler.budget_changed(rate, burst);
+    }
+
     /// Somebody did it then, or something else made it needless.
     pub fn done(&mut self, id: DutyId, at: Duration) {
         if let Some(duty) = self.duties.get_mut(&id)
             && duty.done < Some(at)
         {
-            duty.done = Some(at);
-            schedule(&mut self.scheduler, id, duty);
+            // Later than before, unless nobody had done it: the scheduler asks for that when its time comes up. Each
+            // piece of news would else cost a look at the schedule, thousands of times a second.
+            let is_first = duty.done.replace(at).is_none();
+            duty.hurried = None;
+            if is_first {
+                schedule(&mut self.scheduler, id, duty);
+            }
         }
     }
-    /// From now on the budget is this one.
-    pub fn budget_changed(&mut self, rate: f64, burst: f64) {
-        self.scheduler.budget_changed(rate, burst);
-    }
-
 
     /// This router's own doing has ended; how long it takes does not matter to the next.
     pub fn ended(&mut self, now: Duration, id: DutyId) {
@@ -152,7 +166,9 @@
             && let Some(due) = duty.due()
         {
             let floor = duty.begun.map_or(Duration::ZERO, |begun| begun + duty.plan.floor);
-            self.scheduler.set(id, now.max(floor).min(due), duty.plan.priority, duty.plan.cost);
+            let at = now.max(floor).min(due);
+            duty.hurried = Some(at);
+            self.scheduler.set(id, at, duty.plan.priority, duty.plan.cost);
         }
     }
 
@@ -171,7 +187,8 @@
 
     /// What is to be done now, one at a time until nothing is.
     pub fn next(&mut self, now: Duration) -> Option<DutyId> {
-        let id = self.scheduler.take(now)?;
+        let put_off = |id| self.duties.get(&id).and_then(Duty::wanted);
+        let id = self.scheduler.take_but(now, put_off)?;
         let duty = self.duties.get_mut(&id)?;
         begin(&mut self.scheduler, now, id, duty);
         Some(id)
@@ -200,7 +217,8 @@
     schedule(scheduler, id, duty);
 }
 
-fn schedule(scheduler: &mut Scheduler<DutyId>, id: DutyId, duty: &Duty) {
+fn schedule(scheduler: &mut Scheduler<DutyId>, id: DutyId, duty: &mut Duty) {
+    duty.hurried = None;
     match duty.due() {
         Some(due) => scheduler.set(id, due, duty.plan.priority, duty.plan.cost),
         None => scheduler.remove(id),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use crate::book::{Book, NEWS_BYTES, Verdict};
 use crate::duties::{Duties, Plan};
-use crate::host::{Event, Host};
+use crate::host::{Event, Evidence, Host};
 use crate::ids::{DutyId, PeerName, Subject};
 use crate::letter::{Body, Card, Letter, News, State};
 use crate::membership::Membership;
@@ -162,6 +162,11 @@
         self.duties.claim(now, id, alone)
     }
 
+    /// What peers have told of a node last, where that is of use yet: for who does not take it as it comes.
+    pub fn told_of(&self, now: Duration, node: SocketAddr) -> Option<Evidence> {
+        self.book.told_of(now, node)
+    }
+
     pub fn duty_ended(&mut self, now: Duration, duty: DutyId) {
         self.duties.ended(now, duty);
     }
--- a/crates/fleet/src/ids.rs
+++ b/crates/fleet/src/ids.rs
@@ -12,38 +12,54 @@
 #[error("a name has 1 to {LONGEST_NAME} letters, digits, dots, dashes and underscores")]
 pub struct BadName;
 
-/// The name of a router, the same after a restart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// The name of a router, the same after a restart. Held in place: names are compared at each piece of news, and a look
+/// elsewhere in memory would cost more than all else that is done with one. In the order of their letters.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct PeerName(String);
+pub struct PeerName {
+    /// Zero from the name's end on.
+    letters: [u8; LONGEST_NAME],
+    length: u8,
+}
 
 impl PeerName {
     pub fn new(name: &str) -> Result<Self, BadName> {
-        Self::try_from(name.to_string())
+        let fits = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
+        if !(1..=LONGEST_NAME).contains(&name.len()) || !name.bytes().all(fits) {
+            return Err(BadName);
+        }
+        let mut letters = [0; LONGEST_NAME];
+        letters[..name.len()].copy_from_slice(name.as_bytes());
+        Ok(Self { letters, length: name.len() as u8 })
     }
     pub fn as_str(&self) -> &str {
-        &self.0
+        // Letters of ASCII alone are taken.
+        str::from_utf8(&self.letters[..usize::from(self.length)]).unwrap_or_default()
     }
 }
 
 impl TryFrom<String> for PeerName {
     type Error = BadName;
     fn try_from(name: String) -> Result<Self, BadName> {
-        let fits = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
-        let good = (1..=LONGEST_NAME).contains(&name.len()) && name.bytes().all(fits);
-        good.then_some(Self(name)).ok_or(BadName)
+        Self::new(&name)
     }
 }
 
 impl From<PeerName> for String {
     fn from(name: PeerName) -> Self {
-        name.0
+        name.as_str().to_string()
     }
 }
 
 impl fmt::Display for PeerName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Debug for PeerName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("PeerName").field(&self.as_str()).finish()
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod letter;
 pub mod membership;
+pub mod quick;
 pub mod rendezvous;
 pub mod scheduler;
 
--- a/crates/fleet/tests/parts.rs
+++ b/crates/fleet/tests/parts.rs
@@ -116,6 +116,40 @@
     assert!(scheduler.is_empty());
 }
 
+#[test]
+fn what_was_put_off_without_a_word_waits_for_its_new_time() {
+    let mut scheduler = Scheduler::new(1000.0, 1.0, ms(0));
+    (1..=3).for_each(|job| scheduler.set(job, ms(100), Priority(0), 1.0));
+    let off = |until: &[u64]| {
+        let until: Vec<Duration> = until.iter().map(|at| ms(*at)).collect();
+        move |job: i32| Some(until[job as usize - 1])
+    };
+    // The first was put off before its time came up, the third while it waited for the budget.
+    assert_eq!(scheduler.take_but(ms(100), off(&[300, 100, 100])), Some(2));
+    assert_eq!(scheduler.take_but(ms(100), off(&[300, 100, 100])), None, "nothing is left to spend");
+    assert_eq!(scheduler.take_but(ms(200), off(&[300, 100, 250])), None);
+    assert_eq!(scheduler.take_but(ms(260), off(&[300, 100, 250])), Some(3));
+    assert_eq!(scheduler.take_but(ms(299), off(&[300, 100, 250])), None);
+    assert_eq!(scheduler.take_but(ms(300), off(&[300, 100, 250])), Some(1));
+    assert!(scheduler.is_empty());
+    // An earlier time than it was set for moves nothing.
+    scheduler.set(1, ms(900), Priority(0), 1.0);
+    assert_eq!(scheduler.take_but(ms(800), off(&[400, 0, 0])), None);
+    assert_eq!(scheduler.take_but(ms(900), off(&[400, 0, 0])), Some(1));
+}
+
+#[test]
+fn a_budget_that_is_changed_holds_from_then_on() {
+    let mut scheduler = Scheduler::new(8.0, 2.0, ms(0));
+    (0..40).for_each(|job| scheduler.set(job, ms(0), Priority(0), 1.0));
+    let count = |scheduler: &mut Scheduler<i32>, at| std::iter::from_fn(|| scheduler.take(ms(at))).count();
+    assert_eq!(count(&mut scheduler, 0), 2);
+    scheduler.budget_changed(80.0, 20.0);
+    assert_eq!((count(&mut scheduler, 100), count(&mut scheduler, 350)), (8, 20));
+    scheduler.budget_changed(8.0, 2.0);
+    assert_eq!(count(&mut scheduler, 9000), 2);
+}
+
 fn plan() -> Plan {
     Plan {
         kind: KindId(0),
@@ -153,6 +187,43 @@
     assert!(duties.claim(ms(1251), duty(other), true), "nobody's doing could stand in for it");
 }
 
+#[test]
+fn what_another_did_meanwhile_is_not_done_here_and_a_doubt_hurries_it_until_then() {
+    let mut duties = duties(3);
+    let all = candidates(3);
+    let at = |stands| (0..50).find(|number| place(duty(*number), 0, &name(0), &all) == Some(stands)).unwrap();
+    let (own, next) = (duty(at(0)), duty(at(1)));
+    let done = |duties: &mut Duties, now: u64| -> Vec<DutyId> {
+        let all: Vec<DutyId> = std::iter::from_fn(|| duties.next(ms(now))).collect();
+        all.iter().for_each(|id| duties.ended(ms(now), *id));
+        all
+    };
+    // Whatever was owed from the start on.
+    done(&mut duties, 1000);
+    for now in (1010..2000).step_by(10) {
+        // Others do both, the later one again and again.
+        duties.done(own, ms(now));
+        duties.done(next, ms(now));
+        let doing = done(&mut duties, now);
+        assert!(!doing.contains(&own) && !doing.contains(&next), "at {now}");
+    }
+    // Nobody does any more: the own one after a period, the other's a grace later.
+    let first = |duties: &mut Duties, id: DutyId, from: u64| {
+        (from..from + 1000).step_by(10).find(|now| done(duties, *now).contains(&id))
+    };
+    assert_eq!(first(&mut duties, own, 2000), Some(2090));
+    duties.done(next, ms(3000));
+    assert_eq!(first(&mut duties, next, 3000), Some(3150));
+    // A doubt: at once, if its own floor lets it; not once somebody has done it.
+    duties.done(next, ms(4000));
+    duties.doubted(ms(4020), next);
+    assert_eq!(first(&mut duties, next, 4020), Some(4020));
+    duties.done(next, ms(6000));
+    duties.doubted(ms(6020), next);
+    duties.done(next, ms(6030));
+    assert_eq!(first(&mut duties, next, 6030), Some(6180));
+}
+
 #[test]
 fn a_doing_that_never_ends_is_done_anew() {
     let mut duties = duties(1);
@@ -234,6 +305,23 @@
     assert_eq!(told, [(0, ms(1050), ms(200)), (1, ms(1060), ms(200))]);
 }
 
+#[test]
+fn what_was_told_last_is_known_to_who_asks_as_long_as_it_is_of_use() {
+    let mut book = book(2, 1e6);
+    assert_eq!(book.told_of(ms(900), node(0)), None);
+    let Verdict::Believed(first) = book.told(ms(1000), &name(1), news(0, 900)) else { panic!("an answer") };
+    assert_eq!(book.told_of(ms(1000), node(0)), Some(first));
+    // Older words, failures and own findings are no later word of others.
+    book.told(ms(1000), &name(2), News { age: ms(500), ..news(0, 400) });
+    book.told(ms(1100), &name(2), failure(0));
+    book.found(ms(1200), ms(1190), news(0, 1150));
+    assert_eq!(book.told_of(ms(1200), node(0)), Some(first));
+    let Verdict::Believed(later) = book.told(ms(1300), &name(2), news(0, 1290)) else { panic!("an answer") };
+    assert_eq!(book.told_of(ms(1300) + OLDEST, node(0)), Some(later));
+    assert_eq!(book.told_of(ms(1301) + OLDEST, node(0)), None, "too old");
+    assert_eq!((book.told_of(ms(1300), node(1)), book.told_of(ms(1300), node(9))), (None, None));
+}
+
 #[test]
 fn one_voice_is_a_doubt_and_two_of_late_are_heard() {
     let mut book = book(1, 1e6);
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use quillpoint::host::NodeId;
+use quillpoint::host::{NodeId, PeerWord};
 use quillpoint_control::{Around, Peers, Publication};
 use quillpoint_feed::Word;
 use quillpoint_fleet::{Evidence, News};
@@ -61,9 +61,14 @@
         Around::nodes(&*self.engine)
     }
 
+    /// What others find is told to the module while RPCs are under way, and asked for when one comes: of thousands of
+    /// databases it may come a hundred thousand times a second, and an instance may serve nobody. One that is not
+    /// reached is told at once.
     fn hear(&self, evidence: Evidence) {
         self.seen(evidence);
-        self.engine.hear(evidence);
+        if evidence.failed || self.engine.held() > 0 {
+            self.engine.hear(evidence);
+        }
     }
 
     fn learnt(&self, word: Word) {
@@ -103,4 +108,8 @@
     fn may_probe(&self, node: NodeId) -> bool {
         self.peers.get().is_none_or(|peers| peers.may_probe(node.0))
     }
+
+    fn news_of(&self, node: NodeId) -> Option<PeerWord> {
+        self.peers.get()?.told_of(node.0).map(peers::heard_word)
+    }
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -17,6 +17,13 @@
     PeerWord { node: NodeId(node), at, position, primary, waiting: None, started, failed }
 }
 
+/// The same of what members of a fleet tell.
+pub(crate) fn heard_word(evidence: Evidence) -> PeerWord {
+    let Evidence { node, at, position, primary, waiting, started, failed } = evidence;
+    let (node, waiting) = (NodeId(node), waiting.map(f64::from));
+    PeerWord { node, at, position, primary, waiting, started, failed }
+}
+
 /// What a router has found out, as its fleet takes it.
 pub(crate) fn news(finding: &Finding) -> News {
     let Finding { node: NodeId(node), failed, position, primary, waiting, started, .. } = *finding;
@@ -34,9 +41,7 @@
     }
 
     fn hear(&self, evidence: Evidence) {
-        let Evidence { node, at, position, primary, waiting, started, failed } = evidence;
-        let (node, waiting) = (NodeId(node), waiting.map(f64::from));
-        self.peer_told(PeerWord { node, at, position, primary, waiting, started, failed });
+        self.peer_told(heard_word(evidence));
     }
 
     fn learnt(&self, word: Word) {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
+use futures_lite::{AsyncWriteExt, FutureExt, future};
 use quillpoint::host::{NodeId, Outcome, Report, Role};
 use quillpoint_accounts::Purpose;
 
@@ -539,13 +539,21 @@
                 }
                 return Ok(told);
             }
-            let mut piece = [0; PIECE];
-            match self.stream.read(&mut piece).await? {
+            if self.written && self.read == 0 {
+                // Its answer has not come yet: a look at once would be in vain, at each of thousands of probes.
+                self.stream.readable().await?;
+            }
+            let Self { stream, unread, .. } = self;
+            // No part of the task, which would be as much larger, and moved as it begins.
+            let read = |mut stream: &TcpStream| {
+                let mut piece = [0; PIECE];
+                let count = stream.read(&mut piece)?;
+                unread.extend(&piece[..count]);
+                Ok(count)
+            };
+            match stream.read_with(read).await? {
                 0 => return Err(Fault::Ended),
-                count => {
-                    self.unread.extend(&piece[..count]);
-                    (self.read, self.used) = (self.read + count, Instant::now());
-                }
+                count => (self.read, self.used) = (self.read + count, Instant::now()),
             }
             self.memory.resize(self.unread.capacity().saturating_sub(PIECE))?;
             if self.read > LONGEST_ANSWER {
--- /dev/null
+++ b/crates/router/tests/instance.rs
@@ -0,0 +1,166 @@
+//! A control instance's own module: it is told what other instances found where an RPC of its own has use for it, and
+//! not before. The fleet's letters come over a socket; there are no other processes.
+
+use std::cell::Cell;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::future;
+use quillpoint::host::{Condition, Extent, GroupId, Listed, MethodId, NodeId, ZoneId};
+use quillpoint_control::{Around, Part, Peers, Publication, PublisherPart};
+use quillpoint_datagram::Sealer;
+use quillpoint_datagram::keys::Keyring;
+use quillpoint_feed::publisher;
+use quillpoint_fleet::duties::Plan;
+use quillpoint_fleet::ids::KindId;
+use quillpoint_fleet::scheduler::Priority;
+use quillpoint_fleet::{Body, Card, Incarnation, Letter, Life, News, PeerName, Plans, State};
+use quillpoint_router::deployment::Deployment;
+use quillpoint_router::engine::{Engine, Order, Owed, Sharing, Work};
+use quillpoint_router::instance::Instance;
+use quillpoint_router::statement::Statement;
+use serde_json::json;
+
+/// Nothing here takes so long.
+const NEVER: Duration = Duration::from_secs(30);
+
+fn local() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn keys() -> Keyring {
+    Keyring::parse(&"7e".repeat(32)).unwrap()
+}
+
+fn node(place: u16) -> NodeId {
+    NodeId(SocketAddr::from(([127, 0, 0, 1], 5000 + place)))
+}
+
+/// A control instance before a group of two replicas, and another instance's socket.
+struct World {
+    engine: Rc<Engine>,
+    instance: Rc<Instance>,
+    peers: Rc<Peers>,
+    other: UdpSocket,
+    sealer: Cell<Sealer>,
+    _work: Work,
+}
+
+impl World {
+    fn new() -> Self {
+        let settings = json!({
+            "Allowed": {"ConnIdleMs": 30000.0, "ConnectTimeoutMs": 250.0, "MaxAttempts": 6, "Probes": true},
+            "Balancers": 3, "Discovery": "subscribe", "FailureDomains": ["a"], "Skus": ["m"], "StepMs": 2.0,
+            "Classes": [{"Name": "recent", "GiveUpMs": 60000.0, "GoalTimeMs": 60000.0, "Value": 1.0, "Semantics": "free"}],
+            "Extra": {"Checks": "none", "ClassBoundMs": [5000], "NeedsByClass": ["recent"]},
+            "Feedback": {"Fields": ["x0", "x1"], "Source": "answers"}, "Tariffs": {"Probe": 0.001},
+        });
+        let deployment = Deployment::of(quillpoint_settings::flat_tree(&settings)).unwrap();
+        let (engine, work) = Engine::new(3, &deployment);
+        let listed = |place| Listed {
+            node: node(place),
+            group: GroupId(0),
+            zone: ZoneId(0),
+            kind: 0,
+            primary: false,
+            condition: Condition::Healthy,
+            started: None,
+        };
+        engine.list_changed(Extent::Whole, &[listed(0), listed(1)]);
+        let period = Duration::from_secs(60);
+        let (kind, longest, priority) = (KindId(0), Duration::from_secs(1), Priority(0));
+        let probe = Plan { kind, period, grace: period, floor: period, longest, priority, cost: 1.0 };
+        let plans = Plans { probe, work_rate: 100.0, work_burst: 100.0, news_rate: 1e6, grows: true };
+        let name = PeerName::new("c1").unwrap();
+        let plan = publisher::Plan {
+            period,
+            every: Duration::from_millis(100),
+            copy_rate: 1e6,
+            most_subscribers: 10,
+        };
+        let publish =
+            PublisherPart { name: name.clone(), listen: local(), keys: keys(), plan, letters: 20_000 };
+        let publication = Publication::new(publish, Rc::clone(&engine) as Rc<dyn Around>, 1).unwrap();
+        let instance = Instance::new(Rc::clone(&engine), publication);
+        let (listen, advertise, seeds, letters) = (local(), local(), Vec::new(), 20_000);
+        let part = Part { name, listen, advertise, zone: 0, weight: 1, keys: keys(), seeds, plans, letters };
+        let peers = Peers::new(part, Rc::clone(&instance) as Rc<dyn Around>, 1).unwrap();
+        instance.takes_part(Rc::clone(&peers));
+        engine.share_with(Rc::clone(&instance) as Rc<dyn Sharing>);
+        let (other, sealer) = (UdpSocket::bind(local()).unwrap(), Cell::default());
+        Self { engine, instance, peers, other, sealer, _work: work }
+    }
+
+    /// Another instance has just seen this, or failed to; it has been taken in when this is over.
+    fn told(&self, by: &str, at: NodeId, failed: bool) {
+        let card = self.peers.fleet().members().me().clone();
+        let now = self.engine.clock.now();
+        let news = News {
+            node: at.0,
+            age: Duration::ZERO,
+            position: (!failed).then_some(now - Duration::from_millis(10)),
+            primary: (!failed).then_some(false),
+            waiting: None,
+            started: None,
+            failed,
+        };
+        let life = Life { incarnation: Incarnation(5), version: 0 };
+        let (name, address) = (PeerName::new(by).unwrap(), self.other.local_addr().unwrap());
+        let from = Card { name, life, address, zone: 0, weight: 1, state: State::Up };
+        let letter = Letter { from, body: Body::News(vec![news]), cards: Vec::new() };
+        let mut sealer = self.sealer.take();
+        let bytes = sealer.seal(&keys(), Some(card.life.incarnation), &letter).unwrap();
+        self.sealer.set(sealer);
+        let before = self.peers.counts().taken;
+        self.other.send_to(&bytes, card.address).unwrap();
+        let taken = async {
+            let since = Instant::now();
+            while self.peers.counts().taken == before {
+                assert!(since.elapsed() < NEVER, "never taken");
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        };
+        future::block_on(future::or(async { Rc::clone(&self.peers).listen().await }, taken));
+    }
+
+    fn arrive(&self) -> Owed {
+        let text = "/* id=7,c=recent,d=60000,cluster=0 */ SELECT data FROM facts WHERE code = 'a'";
+        let statement = Statement::parse(text.as_bytes().to_vec()).unwrap();
+        self.engine.rpc_arrived(MethodId(0), &statement, Instant::now(), None).unwrap()
+    }
+}
+
+fn sent(owed: &Owed) -> Option<NodeId> {
+    match owed.ordered()? {
+        Order::Attempt(attempt) => Some(attempt.node),
+        _ => panic!("an answer to what was never sent"),
+    }
+}
+
+#[test]
+fn what_another_instance_found_before_an_rpc_came_lets_it_go_at_once() {
+    let world = World::new();
+    world.told("c2", node(1), false);
+    assert!(world.instance.news_of(node(1)).is_some() && world.instance.news_of(node(0)).is_none());
+    assert_eq!(sent(&world.arrive()), Some(node(1)));
+}
+
+#[test]
+fn what_another_instance_finds_lets_go_what_is_held() {
+    let world = World::new();
+    let owed = world.arrive();
+    assert_eq!(sent(&owed), None, "nobody has said that any replica is up to date");
+    world.told("c2", node(0), false);
+    assert_eq!(sent(&owed), Some(node(0)));
+}
+
+#[test]
+fn a_node_that_several_do_not_reach_is_shut_at_once() {
+    let world = World::new();
+    world.told("c2", node(1), true);
+    assert!(!Around::is_shut(&*world.engine, node(1).0), "one voice alone");
+    world.told("c3", node(1), true);
+    assert!(Around::is_shut(&*world.engine, node(1).0) && !Around::is_shut(&*world.engine, node(0).0));
+}
