--- a/crates/rig/src/capacity/rows.rs
+++ b/crates/rig/src/capacity/rows.rs
@@ -474,7 +474,18 @@
     let lines = books.lines(record);
     let about = |program| About { record, lines, program, mode, figure };
     let sizes = |program, over: &Over| about(program).points(over.axis()).map_or(0, |of| of.points.len());
-    let programs = fit::programs(lines);
+    let mut programs = fit::programs(lines);
+    // Of a control machine's share, runs of as many instances as there are machines come first, however old they are:
+    // before fewer each probes more, which costs more than to hear of it.
+    let machines = over.iter().find_map(|over| match over {
+        Over::Share { machines, .. } => Some(*machines),
+        Over::Size(..) => None,
+    });
+    let is_of_others = |of: &About<'_>| {
+        let instances = |over: &Over| of.points(over.axis()).map(|played| played.held.control as f64);
+        machines.is_some() && over.iter().any(|over| instances(over) != machines)
+    };
+    programs.sort_by_key(|program| is_of_others(&about(*program)));
     let mut partial = Vec::new();
     for program in &programs {
         let enough = over.iter().enumerate().filter(|(_, over)| sizes(*program, over) >= fit::FEWEST_SIZES);
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -187,6 +187,15 @@
     number(text[..at].rsplit(' ').next()?)
 }
 
+/// The size of an axis that a row is of: of an instance's share, what it makes before those that were played.
+fn asked_size(at: &str, axis: &str) -> Option<f64> {
+    let size = at.split(';').next()?;
+    match size.split_once(" routers an instance, ").filter(|_| axis == "routers") {
+        Some((_, rest)) => number(rest.split(' ').next()?),
+        None => before(size, axis),
+    }
+}
+
 /// What is wrong with a page beside the records of a folder: one line for each fault.
 fn faults(page: &str, folder: &Path) -> Vec<String> {
     let rows = rows(page);
@@ -315,7 +324,7 @@
     };
     let axis = Axis::ALL.into_iter().find(|known| known.name() == axis).ok_or("no such axis")?;
     if kind == "measured" || kind == "simulated" {
-        let at = before(cell("at")?, axis.name()).ok_or("no size")?;
+        let at = asked_size(cell("at")?, axis.name()).ok_or("no size")?;
         let is_there = |(fault, sizes): (Option<&str>, &Sizes)| fault.is_none() && size(sizes, axis) == at;
         let played = with().filter(|(fault, sizes, _)| is_there((*fault, sizes)));
         let mut played: Vec<f64> = played.map(|(.., is)| is).collect();
@@ -340,7 +349,7 @@
     let missed = missed.and_then(|(by, _)| number(by)).ok_or("no error of the prediction")?;
     ensure(missed >= fit.error - 1e-8 && missed <= fit.error + 0.001, "the error is not the fit's")?;
     let terms: Vec<&str> = cell("sum")?.split(" + ").collect();
-    let at = before(cell("at")?, axis.name()).ok_or("no size")?;
+    let at = asked_size(cell("at")?, axis.name()).ok_or("no size")?;
     let played = points(&lines, axis, mode, name).ok_or("no points")?.points;
     let most = played.iter().filter(|point| point.size <= at).map(|point| point.mean).reduce(f64::max);
     let most = most.unwrap_or_else(|| played.iter().map(|point| point.mean).fold(0.0, f64::max));
@@ -423,14 +432,7 @@
     if base > was * 1.000_02 || base < was * 0.9999 {
         return Err("the base is not what was there".to_string());
     }
-    // The last number before the axis: of an instance's share, what it makes before those that were played.
-    let wanted = |row: &BTreeMap<String, String>, axis: &str| {
-        let size = row["at"].split(';').next()?;
-        match size.split_once(" routers an instance, ") {
-            Some((_, rest)) => number(rest.split(' ').next()?),
-            None => before(size, axis),
-        }
-    };
+    let wanted = |row: &BTreeMap<String, String>, axis| asked_size(&row["at"], axis);
     let (Some(to_routers), Some(to_databases)) = (wanted(one, "routers"), wanted(other, "databases")) else {
         return Err("no sizes".to_string());
     };
@@ -823,6 +825,43 @@
     assert!(page.contains(&format!("First: router, {bytes} (calm): ")));
 }
 
+/// Guards against a region alone, whose four machines probe a quarter of the databases each, that passes for as cheap as
+/// four of eight, since runs of eight are newer.
+#[test]
+fn runs_of_as_many_instances_as_there_are_machines_come_before_newer_ones_of_others() {
+    let played = |instances: usize, cost: f64, program: Option<&str>| {
+        let sizes =
+            SIZES.map(|routers| (routers, 500)).into_iter().chain(SIZES.map(|databases| (500, databases)));
+        let mut lines: Vec<Line> = sizes
+            .map(|(routers, databases)| {
+                let cpu = 0.01 + cost * databases as f64 + 1e-6 * routers as f64;
+                run(Mode::Feed, routers, databases, None, &[("control_cpu_part", cpu)])
+            })
+            .collect();
+        for line in &mut lines {
+            if let Line::Run { sizes, program: by, .. } = line {
+                (sizes.control, *by) = (instances, program.map(str::to_string));
+            }
+        }
+        lines
+    };
+    let both = |first: Vec<Line>, then: Vec<Line>| made("instances", first.into_iter().chain(then).collect());
+    let what = "processor time, cores";
+    let alone = "processor time, cores, 4 machines before 3,950 routers";
+    let (folder, page) = both(played(4, 5e-5, None), played(8, 2e-5, Some("new")));
+    assert_eq!(faults(&page, &folder.0), Vec::<String>::new());
+    let calm = row(&page, "control machine", what, "feed, over routers and databases, by new");
+    assert!(number(&calm["figure"]).is_some_and(|is| is < 0.8), "{calm:?}");
+    let region = row(&page, "control machine", alone, "feed, over routers and databases");
+    assert!(number(&region["figure"]).is_some_and(|is| is > 0.9), "{region:?}");
+    // Where there are none of as many, the newest.
+    let lost = row(&page, "control machine", "processor time, cores, 7 machines left", "databases, by new");
+    assert!(number(&lost["figure"]).is_some_and(|is| is < 0.5), "{lost:?}");
+    // Of as many, the newer.
+    let (_, page) = both(played(8, 5e-5, None), played(8, 2e-5, Some("new")));
+    row(&page, "control machine", what, "feed, over routers and databases, by new");
+}
+
 #[test]
 fn a_figure_on_which_calibration_failed_counts_for_nothing() {
     let mut lines = made_up();
