--- a/crates/fleet/tests/parts.rs
+++ b/crates/fleet/tests/parts.rs
@@ -224,6 +224,21 @@
     assert_eq!(first(&mut duties, next, 6030), Some(6180));
 }
 
+#[test]
+fn what_was_last_done_long_ago_is_owed_as_soon_as_that_is_heard() {
+    let mut duties = Duties::new(name(0), 1e6, 1e6, ms(10_000));
+    let subjects: BTreeMap<Subject, u16> = (0..50).map(|number| (Subject::Node(node(number)), 0)).collect();
+    duties.view_changed(ms(10_000), candidates(1));
+    // What nobody is known to have done is spread over a period.
+    duties.subjects_changed(ms(10_000), plan(), &subjects);
+    let late = (0..50).map(duty).filter(|id| phase(*id, &name(0)) > 0.5);
+    let late: Vec<DutyId> = late.take(2).collect();
+    duties.done(late[0], ms(5000));
+    duties.done(late[1], ms(9990));
+    let now: Vec<DutyId> = std::iter::from_fn(|| duties.next(ms(10_010))).collect();
+    assert!(now.contains(&late[0]) && !now.contains(&late[1]), "{now:?}");
+}
+
 #[test]
 fn a_doing_that_never_ends_is_done_anew() {
     let mut duties = duties(1);
