--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -93,8 +93,8 @@
     fn listed(&self);
     /// Whether a probe that the module asks for is to be made here, or left to another router.
     fn may_probe(&self, node: NodeId) -> bool;
-    /// What others have told of a node last, unless this has said it before. Asked for where there is use for it, as
-    /// what is told of all nodes may come often.
+    /// What others have told of a node last; what it has said before may be left out. Asked for where there is use for
+    /// it, as what is told of all nodes may come often.
     fn news_of(&self, _node: NodeId) -> Option<PeerWord> {
         None
     }
