--- a/crates/fleet/src/book.rs
+++ b/crates/fleet/src/book.rs
@@ -127,6 +127,8 @@
             *at <= asked && said.is_some_and(|said| said + ROUNDING < *told)
         };
         let (liar, _, _) = known.highest.take_if(lied)?;
+        // Whoever asks what was told last must not hear it again.
+        known.told = None;
         self.distrusted.insert(liar.clone(), now + DISTRUST);
         Some(liar)
     }
--- a/crates/fleet/tests/parts.rs
+++ b/crates/fleet/tests/parts.rs
@@ -335,6 +335,9 @@
     assert_eq!(book.told_of(ms(1300) + OLDEST, node(0)), Some(later));
     assert_eq!(book.told_of(ms(1301) + OLDEST, node(0)), None, "too old");
     assert_eq!((book.told_of(ms(1300), node(1)), book.told_of(ms(1300), node(9))), (None, None));
+    // The node itself contradicts it.
+    assert_eq!(book.found(ms(1400), ms(1350), news(0, 1000)), Some(name(2)));
+    assert_eq!(book.told_of(ms(1400), node(0)), None);
 }
 
 #[test]
