One set-up for two tests of marks that clients carry; the rig's budget is written once

The set-up stood twice in pipeline.rs. The rig wrote a fleet's section and then replaced a line in it. Assertions and files written are the same.

--- a/crates/rig/src/scale/member.rs
+++ b/crates/rig/src/scale/member.rs
@@ -118,22 +118,17 @@
         if fleet {
             let (listen, every) = (address.datagrams, (self.sizes.period_s * 1000.0).round());
             let advertise = self.of_fleet(listen);
+            // All of them twice over, should the others be gone, as a control instance reckons by itself: a budget
+            // that is short would be measured instead.
+            let work = (2.0 * self.sizes.databases as f64 / self.sizes.period_s).ceil().clamp(2000.0, 1e6);
+            let budget = match kind {
+                Kind::Control => String::new(),
+                Kind::Router | Kind::Untied => format!("    work-budget {work}\n"),
+            };
             text += &format!(
-                "fleet {{\n    listen {listen}\n    advertise {advertise}\n    keys fleet.keys\n}}\n"
+                "fleet {{\n    listen {listen}\n    advertise {advertise}\n    keys fleet.keys\n{budget}}}\n"
             );
             text += &format!("duty probe {{\n    every {every}ms\n}}\n");
-            if kind != Kind::Control {
-                // All of them twice over, should the others be gone, as a control instance reckons by itself: a budget
-                // that is short would be measured instead.
-                let all = self.sizes.databases as f64 / self.sizes.period_s;
-                text = text.replace(
-                    "    keys fleet.keys\n",
-                    &format!(
-                        "    keys fleet.keys\n    work-budget {}\n",
-                        (all * 2.0).ceil().clamp(2000.0, 1e6)
-                    ),
-                );
-            }
             let of_fleet = |address: &Address| self.of_fleet(address.datagrams);
             let control: Vec<SocketAddr> = self.control.iter().map(of_fleet).collect();
             let peers = if kind == Kind::Control { &control[..] } else { self.routers };
--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -186,10 +186,9 @@
     assert!(came(&replicas[0], &all[1]) && came(&primary, &all[3]));
 }
 
-#[test]
-fn a_read_that_was_sent_before_its_session_knew_of_its_commit_sees_it_nonetheless() {
-    // Clients carry the marks; without probes a replica is known by its answers alone.
-    let (primary, replicas, router, _discovery) = group(
+/// Clients carry the marks; without probes a replica is known by its answers alone.
+fn marked_by_clients() -> (Node, Vec<Node>, Running, Discovery) {
+    let (primary, replicas, router, discovery) = group(
         1,
         &[
             (r#""update","recent""#, r#""update","own_writes""#),
@@ -201,6 +200,12 @@
     let mut other = router.client();
     assert!((0..20).all(|_| other.rpc("look", 9000) == ok()));
     std::thread::sleep(Duration::from_millis(5));
+    (primary, replicas, router, discovery)
+}
+
+#[test]
+fn a_read_that_was_sent_before_its_session_knew_of_its_commit_sees_it_nonetheless() {
+    let (primary, replicas, router, _discovery) = marked_by_clients();
     let mut client = router.client();
     let all = [of("a", "enter", 9000), of("a", "recent", 9000)];
     send_all(&mut client, &all);
@@ -212,17 +217,7 @@
 #[test]
 fn a_read_behind_many_other_sessions_writes_still_sees_its_own_sessions() {
     // More sessions write in between than are kept one by one; the read was sent before any of them was answered.
-    let (primary, replicas, router, _discovery) = group(
-        1,
-        &[
-            (r#""update","recent""#, r#""update","own_writes""#),
-            (r#""WriteMarks":"router""#, r#""WriteMarks":"client""#),
-            (r#""Probes":true"#, r#""Probes":false"#),
-        ],
-    );
-    let mut other = router.client();
-    assert!((0..20).all(|_| other.rpc("look", 9000) == ok()));
-    std::thread::sleep(Duration::from_millis(5));
+    let (primary, replicas, router, _discovery) = marked_by_clients();
     let mut client = router.client();
     let writes = (0..100).map(|place| of(&format!("k{place}"), "enter", 9000));
     let mut all: Vec<String> = writes.collect();
