--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -436,6 +436,8 @@
         let signal = match name {
             "-TERM" => Signal::TERM,
             "-HUP" => Signal::HUP,
+            "-STOP" => Signal::STOP,
+            "-CONT" => Signal::CONT,
             other => panic!("{other}"),
         };
         kill_process(Pid::from_child(&self.child), signal).unwrap();
