A call for the list whose time is over stays open, and its answer is taken

The router then closed the connection, and an answer that was written in that moment, or lay read in its buffer while it yielded to the timer, was lost, though it counts as told. In a crowd the next answer is seconds away. Change: each call is a task of its own; when its time is over, or SIGHUP moves discovery, it stays open beside the next (two at most, 12 s), and Versions decides what is taken of answers in any order. A call that does not wait gets 2.5 s, so that discovery's own word comes first. New events: list, list_call_failed, list_call_late, list_answer_passed_over, with call numbers and times. Measured: the three failing tests hold, and two more (order, bound on connections).

--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -1,7 +1,7 @@
 //! The sole owner of the decision module: its clock, its one timer, and what each RPC is still owed.
 //!
 //! The module acts by calling its host, [`Desk`], which only notes work: orders go to the mailbox of the
-//! RPC's own task, probes and closings to the pool, asks for the list to the directory. So nothing calls the
+//! RPC's own task, probes and closings to the pool, asks for the list to discovery's client. So nothing calls the
 //! module from inside one of its own calls.
 
 use std::cell::{Cell, OnceCell, RefCell};
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -64,28 +64,8 @@
     pub fn lines(&mut self, page: &Page) -> Vec<Listed> {
         let mut lines = Vec::with_capacity(page.targets.len());
         let before = if page.all { std::mem::take(&mut self.endpoints) } else { BTreeMap::new() };
-        for entry in &page.targets {
-            let target = match Target::deserialize(entry) {
-                Ok(target) => target,
-                Err(error) => {
-                    log::warn!("list entry skipped, {error}: {entry}");
-                    continue;
-                }
-            };
-            let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-            let line = Listed {
-                node: NodeId(target.endpoint),
-                group: GroupId(target.pod_group),
-                zone: ZoneId(place(&self.zones, &target.az).unwrap_or(0)),
-                kind: place(&self.kinds, &target.model).unwrap_or(0),
-                primary: target.role == "primary",
-                condition: match target.state {
-                    State::InService => Condition::Healthy,
-                    State::Terminating => Condition::Draining,
-                    State::Terminated => Condition::Gone,
-                },
-                started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(quillpoint_settings::span),
-            };
+        for target in page.targets.iter().filter_map(read) {
+            let line = self.line(&target);
             let old = match line.condition {
                 Condition::Gone => self.endpoints.remove(&target.uid),
                 _ => self.endpoints.insert(target.uid.clone(), line.clone()),
@@ -100,4 +80,32 @@
         }
         lines
     }
+
+    /// The entries of a page that say that a node drains or is gone. Nothing of the page is remembered.
+    pub fn stops(&self, page: &Page) -> Vec<Listed> {
+        let lines = page.targets.iter().filter_map(read).map(|target| self.line(&target));
+        lines.filter(|line| line.condition != Condition::Healthy).collect()
+    }
+
+    fn line(&self, target: &Target) -> Listed {
+        let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        Listed {
+            node: NodeId(target.endpoint),
+            group: GroupId(target.pod_group),
+            zone: ZoneId(place(&self.zones, &target.az).unwrap_or(0)),
+            kind: place(&self.kinds, &target.model).unwrap_or(0),
+            primary: target.role == "primary",
+            condition: match target.state {
+                State::InService => Condition::Healthy,
+                State::Terminating => Condition::Draining,
+                State::Terminated => Condition::Gone,
+            },
+            started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(quillpoint_settings::span),
+        }
+    }
+}
+
+fn read(entry: &Json) -> Option<Target> {
+    let target = Target::deserialize(entry);
+    target.inspect_err(|error| log::warn!("list entry skipped, {error}: {entry}")).ok()
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::budget::Accounts;
 use crate::client::Clients;
 use crate::descriptors::Descriptors;
-use crate::directory::Directory;
+use crate::discovery::DiscoveryClient;
 use crate::drain;
 use crate::engine::Engine;
 use crate::events;
@@ -43,13 +43,15 @@
     let listener_slot = descriptors.take().await;
     let (engine, work) = Engine::new(launch.seed, deployment);
     events::whose(&launch.name, engine.clock.now().as_micros() as u64);
-    let (directory, known) = Directory::new(
+    let (discovery, known) = DiscoveryClient::new(
         launch.discovery,
         deployment,
         &launch.known,
-        (descriptors.take().await, engine.clock),
         launch.seed,
-    );
+        engine.clock,
+        (Rc::clone(&executor), &descriptors),
+    )
+    .await;
     engine.list_changed(Extent::Remembered, &known);
     let ties = Rc::new(Ties::open(&briefing.parts, &engine, &descriptors, launch.seed).await?);
     let accounts = Accounts::of(launch.memory);
@@ -58,7 +60,7 @@
     let (executors, engines, pools) = (Rc::clone(&executor), Rc::clone(&engine), Rc::clone(&pool));
     let clients = Clients::new(executors, engines, pools, descriptors, accounts.clone(), deployment);
     let (moves, moved) = async_channel::unbounded();
-    executor.spawn(directory.run(Rc::clone(&engine), work.list, moved)).detach();
+    executor.spawn(discovery.run(Rc::clone(&engine), work.list, moved)).detach();
     executor.spawn(Rc::clone(&pool).close_old()).detach();
     executor.spawn(pool.run(Rc::clone(&engine), work.chores)).detach();
     ties.run(&engine, &executor);
--- a/crates/router/tests/list_calls.rs
+++ b/crates/router/tests/list_calls.rs
@@ -12,8 +12,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use quillpoint_router::presence::has_hung_up;
 use standin::{Client, Discovery, Node, Reply, Running, VALUE, configuration, targets};
 
 /// The grace for drains in these tests' settings.
@@ -54,6 +55,17 @@
         self.calls.recv_timeout(NEVER).expect("a call for the list")
     }
 
+    /// Leaves each call that comes in this time without an answer. How many connections were ever open at once.
+    fn ignore_all_for(&self, span: Duration) -> usize {
+        let (by, mut open, mut most) = (Instant::now() + span, Vec::new(), 0);
+        while let Some(left) = by.checked_duration_since(Instant::now()) {
+            open.extend(self.calls.recv_timeout(left));
+            open.retain(|call| !has_hung_up(&call.stream));
+            most = most.max(open.len());
+        }
+        most
+    }
+
     /// Refuses each call from now on, as one that has too many callers.
     fn refuse_all(self) {
         thread::spawn(move || self.calls.into_iter().for_each(|mut call| call.refuse()));
@@ -128,10 +140,6 @@
         ])
     }
 
-    fn before(&self) -> String {
-        Self::list(&self.nodes, "in_service")
-    }
-
     fn after(&self) -> String {
         Self::list(&self.nodes, "terminating")
     }
@@ -202,3 +210,24 @@
     thread::sleep(GRACE);
     assert_eq!(fleet.sent_to_the_draining(), 0);
 }
+
+#[test]
+fn an_older_answer_that_comes_behind_a_newer_one_takes_nothing_back() {
+    let fleet = Fleet::start();
+    let mut first = fleet.discovery.next();
+    thread::sleep(PAST_ITS_TIME);
+    let mut second = fleet.discovery.next();
+    second.answer(3, &fleet.after());
+    fleet.router.await_line("list 3: 3 entries");
+    first.answer(2, &Fleet::list(&fleet.nodes, "in_service"));
+    fleet.router.await_line("came behind a newer one");
+    assert_eq!(fleet.sent_to_the_draining(), 0);
+}
+
+#[test]
+fn a_discovery_that_never_answers_holds_few_connections() {
+    let fleet = Fleet::start();
+    let most = fleet.discovery.ignore_all_for(Duration::from_secs(16));
+    assert_eq!(most, 3, "the newest call, and two whose time is over");
+    fleet.router.await_line("closed without an answer");
+}
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -6,7 +6,7 @@
 use quillpoint_accounts::Purpose::{Answers, Coming, Statements};
 use quillpoint_router::budget::{Accounts, Held};
 use quillpoint_router::config::Launch;
-use quillpoint_router::directory;
+use quillpoint_router::http;
 use quillpoint_router::list::{Page, Reader};
 use quillpoint_router::pg::{self, Answer, Asked, Column, Opening, Reading, Said, Told};
 use quillpoint_router::statement::Statement;
@@ -182,7 +182,7 @@
                 let text = [b"/* id=1,", bytes, b"*/ SELECT"].concat();
                 _ = (Statement::parse(bytes.to_vec()), Statement::parse(text));
                 let answer = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", bytes].concat();
-                _ = (directory::answer(bytes, true), directory::answer(&answer, true));
+                _ = (http::body(bytes, true), http::body(&answer, true));
             }
         }) as fn(Mangled, Vec<u8>),
     );
@@ -293,13 +293,13 @@
                 [format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(), body]
                     .concat();
             [chunked, sized].iter().all(|bytes| {
-                let cut =
-                    (0..bytes.len()).all(|cut| directory::answer(&bytes[..cut], false).unwrap().is_none());
-                cut && directory::answer(bytes, false).unwrap() == Some((body.to_vec(), true))
+                let cut = (0..bytes.len()).all(|cut| http::body(&bytes[..cut], false).unwrap().is_none());
+                cut && http::body(bytes, false).unwrap()
+                    == Some(http::Body { bytes: body.to_vec(), keeps_connection: true })
             })
         }) as fn(Vec<u8>) -> bool,
     );
-    assert!(directory::answer(b"HTTP/1.1 503 Busy\r\n\r\n", false).is_err());
+    assert!(http::body(b"HTTP/1.1 503 Busy\r\n\r\n", false).is_err());
 }
 
 const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"5",
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -13,6 +13,13 @@
 //! | a call is connected to and never answered | `CONNECT` + `HEAD`, then `LONGEST_BACKOFF` |
 //! | the same, and its answer stalls | `CONNECT` + `HEAD` + `BODY`, then `LONGEST_BACKOFF` |
 //! | a call is refused, or breaks off | `LONGEST_BACKOFF` |
+//!
+//! A call whose time is over is not closed: discovery may be writing its answer just then, and what it has written
+//! counts as told. A new call is made beside it, and whichever answers is heard; [`Versions`] says what of it is taken.
+
+mod versions;
+
+pub use versions::{Basis, Use, Versions};
 
 use std::time::Duration;
 
@@ -38,12 +45,20 @@
 const SPREAD: f64 = 0.125;
 /// A connection may take so long to come up: one lost packet is made up for.
 const CONNECT: Duration = millis(1000);
-/// A call that does not wait may take so long to be answered, where discovery has many callers.
-const HEAD: Duration = millis(2000);
+/// A call that does not wait may take so long to be answered. Where discovery has many callers it refuses those that
+/// have waited for [`REFUSED_AFTER`]: its own word comes first.
+const HEAD: Duration = millis(2500);
+/// The platform's discovery refuses a call that it has not come to by then.
+const REFUSED_AFTER: Duration = millis(2000);
 /// A watch is answered no later than this after its wait, or has fallen silent.
 const SLACK: Duration = millis(1000);
 /// The rest of an answer that has begun.
 const BODY: Duration = millis(750);
+/// An answer is still taken so long after the call for it began and its wait ended. Nothing is told by it then that
+/// has not been told by calls that came later.
+pub const ANSWER_TAKEN: Duration = millis(12_000);
+/// So many calls whose time is over are kept open beside the newest one.
+pub const MOST_LATE_CALLS: usize = 2;
 /// The interval within which a failed call is made again, by chance anywhere in it; then twice as long each time.
 const FIRST_BACKOFF: Duration = millis(500);
 const LONGEST_BACKOFF: Duration = millis(1000);
@@ -57,6 +72,7 @@
     let watch = LONGEST_HOLD.as_millis() + SLACK.as_millis() + BODY.as_millis() + after;
     let call = CONNECT.as_millis() + HEAD.as_millis() + BODY.as_millis() + after;
     assert!(watch <= TOLD.as_millis() && call <= TOLD.as_millis());
+    assert!(HEAD.as_millis() >= REFUSED_AFTER.as_millis() + ANSWERED.as_millis());
 };
 
 /// The parts of a call, in their order.
@@ -162,6 +178,14 @@
         self.state = State::Waiting(if at_once { now + PAUSE } else { now });
     }
 
+    /// A call whose time was over has its whole answer after all. Discovery answers again, so that what was to be asked
+    /// for after a pause is watched for from now on. A call that is out goes on.
+    pub fn answered_late(&mut self, now: Duration) {
+        if let State::Waiting(_) = self.state {
+            (self.hold, self.failures, self.state) = (self.full_hold, 0, State::Waiting(now));
+        }
+    }
+
     /// The call has come to nothing, or its part to its end.
     pub fn failed(&mut self, now: Duration) -> Failed {
         let silent = matches!(self.state, State::Calling { part: Part::Head, since, .. }
