Soak: real routers under seeded faults and series of signals, checked on the record of both sides

Checked: lost, duplicate, drain, deadline passed on, sends after a client left, stale reads, the end of a stopping process. Failed first runs were the soak's own: a second SIGTERM that hit the successor process, a signal to an ended process, and clients that sent once more what a killed router had taken.

--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -37,7 +37,7 @@
     let (primary, replica) = (Node::start(true), Node::start(false));
     let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
     let discovery = Discovery::start(list.clone());
-    let router = Running::start(&changed(&configuration(&discovery, &list, sockets), change));
+    let router = Running::start(&changed(&configuration(discovery.address, &list, sockets), change));
     (primary, replica, router, discovery)
 }
 
@@ -183,7 +183,7 @@
     let node = ByHand::start();
     let list = format!("[{}]", node.entry("primary"));
     let discovery = Discovery::start(list.clone());
-    let router = Running::start(&configuration(&discovery, &list, 200));
+    let router = Running::start(&configuration(discovery.address, &list, 200));
     let mut client = router.client();
     // Longer than what the two buffers between router and node hold.
     let long = statement("enter", 9000).replace("\\x9f03", &format!("\\x{}", "9f".repeat(64_000)));
@@ -205,7 +205,7 @@
     let discovery = Discovery::start(list.clone());
     // A connect may take a second. A probe would wait no longer for its answer, and end the connection that it is on.
     let text = changed(
-        &configuration(&discovery, &list, 200),
+        &configuration(discovery.address, &list, 200),
         &[("5000.0,\"MaxAttempts\"", "1000.0,\"MaxAttempts\""), (r#""Probes":true"#, r#""Probes":false"#)],
     );
     let router = Running::start(&text);
@@ -238,7 +238,7 @@
     let (primary, replica) = (Node::start(true), Node::start(false));
     let list = targets(&[(&primary, "primary", "in_service"), (&replica, "replica", "in_service")]);
     let discovery = Discovery::start(list.clone());
-    let router = Running::start_with(&configuration(&discovery, &list, 200), &[("RUST_LOG", "debug")]);
+    let router = Running::start_with(&configuration(discovery.address, &list, 200), &[("RUST_LOG", "debug")]);
     replica.set(Does::Fills(300_000));
     // A client that takes in little before it reads: most of its answer waits in the router's system.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
@@ -317,7 +317,7 @@
 fn a_router_that_is_told_to_stop_before_its_first_list_ends() {
     let discovery = Discovery::start("[]".into());
     discovery.silent.store(true, Ordering::SeqCst);
-    let mut router = Running::start(&configuration(&discovery, "[]", 200));
+    let mut router = Running::start(&configuration(discovery.address, "[]", 200));
     let mut client = router.client();
     discovery.await_calls(1);
     client.ask("");
@@ -349,7 +349,7 @@
     let list = targets(&[(&node, "primary", "in_service")]);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let discovery = Discovery::start(list.clone()).told_at(listener.local_addr().unwrap());
-    let router = Running::start(&configuration(&discovery, &list, 200));
+    let router = Running::start(&configuration(discovery.address, &list, 200));
     let (mut stream, _) = listener.accept().unwrap();
     // A part of the call stays unread, so that the close is a reset. There is no length: an end would be one.
     stream.read_exact(&mut [0; 4]).unwrap();
@@ -368,7 +368,7 @@
     let address = listener.local_addr().unwrap();
     drop(listener);
     let down = Discovery::start(list.clone()).told_at(address);
-    let router = Running::start(&configuration(&down, &list, 64));
+    let router = Running::start(&configuration(down.address, &list, 64));
     router.await_line("list call failed");
     let mut clients: Vec<Client> = (0..60).map(|_| router.client()).collect();
     let back = Instant::now();
@@ -393,7 +393,7 @@
     let down = empty.told_at(refused);
     let all = [&down, &silent, &empty, &node].into_iter().cycle().take(30);
     let fronts = all.map(|discovery| {
-        let text = configuration(discovery, "[]", 200);
+        let text = configuration(discovery.address, "[]", 200);
         std::thread::spawn(move || {
             let began = Instant::now();
             let router = Running::start(&text);
--- a/crates/router/tests/lending.rs
+++ b/crates/router/tests/lending.rs
@@ -53,7 +53,7 @@
 impl Parts {
     fn of(executor: &Rc<LocalExecutor<'static>>, node: &Node, change: &[(&str, &str)]) -> Self {
         let list = targets(&[(node, "primary", "in_service")]);
-        let text = configuration(&Discovery::start(list.clone()), &list, 200);
+        let text = configuration(Discovery::start(list.clone()).address, &list, 200);
         let unasked = (r#""Probes":true"#, r#""Probes":false"#);
         let text = [unasked].iter().chain(change).fold(text, |text, (from, to)| {
             assert!(text.contains(from), "{from}");
--- a/crates/router/tests/list_calls.rs
+++ b/crates/router/tests/list_calls.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use quillpoint_router::presence::has_hung_up;
-use standin::{Client, Discovery, Node, Reply, Running, VALUE, configuration, targets};
+use standin::{Client, Node, Reply, Running, VALUE, configuration, targets};
 
 /// The grace for drains in these tests' settings.
 const GRACE: Duration = Duration::from_millis(1000);
@@ -125,10 +125,8 @@
     /// The router knows the list from before the drain.
     fn start() -> Self {
         let (nodes, discovery) = ([true, false, false].map(Node::start), ByHand::start());
-        // Only its address is read from it.
-        let address = Discovery::start("[]".to_string()).told_at(discovery.address);
         let before = Self::list(&nodes, "in_service");
-        let router = Running::start(&configuration(&address, &before, 200));
+        let router = Running::start(&configuration(discovery.address, &before, 200));
         Self { nodes, discovery, router }
     }
 
--- a/crates/router/tests/pipeline.rs
+++ b/crates/router/tests/pipeline.rs
@@ -34,7 +34,7 @@
     all.extend(replicas.iter().map(|node| (node, "replica", "in_service")));
     let list = targets(&all);
     let discovery = Discovery::start(list.clone());
-    let text = change.iter().fold(configuration(&discovery, &list, 200), |text, (from, to)| {
+    let text = change.iter().fold(configuration(discovery.address, &list, 200), |text, (from, to)| {
         assert!(text.contains(from), "{from}");
         text.replace(from, to)
     });
--- a/crates/router/tests/shapes.rs
+++ b/crates/router/tests/shapes.rs
@@ -53,8 +53,8 @@
 fn mixed_with(changes: &[(&str, &str)]) -> Mixed {
     let nodes: Vec<Node> = (0..4).map(|place| Node::start(place == 0)).collect();
     let discovery = Discovery::start(listed(&nodes, ROLES));
-    let old = changed(configuration(&discovery, &listed(&nodes, ROLES), 200), changes);
-    let new = changed(configuration(&discovery, &listed(&nodes, [""; 4]), 200), changes);
+    let old = changed(configuration(discovery.address, &listed(&nodes, ROLES), 200), changes);
+    let new = changed(configuration(discovery.address, &listed(&nodes, [""; 4]), 200), changes);
     let routers = [old, changed(new, NEW)].map(|text| Running::start(&text));
     Mixed { nodes, discovery, routers }
 }
--- /dev/null
+++ b/crates/router/tests/soak/clients.rs
@@ -0,0 +1,177 @@
+//! Clients: each keeps a connection for as long as it stays open, and asks one statement after the other on it.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quillpoint_router::pg;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::record::{Ending, Record, Request, RouterNo};
+use crate::standin::{Client, Reply, statement};
+
+/// Past its time, a request is waited for so long: what comes by then is late, and later it is lost.
+const PAST_ITS_TIME: Duration = Duration::from_millis(1500);
+/// The shortest time that a client waits for an answer.
+const SHORTEST_WAIT_MS: u64 = 60;
+const MOST_ON_A_CONNECTION: usize = 200;
+/// So often a request is sent once more whose connection was closed.
+const MOST_SENDS: usize = 3;
+
+/// A router that takes new connections.
+#[derive(Clone, Copy)]
+pub struct Admitted {
+    pub router: RouterNo,
+    pub process: usize,
+    pub address: SocketAddr,
+}
+
+/// Hands clients to routers.
+#[derive(Default)]
+pub struct Front(Mutex<Vec<Admitted>>);
+
+impl Front {
+    pub fn admit(&self, admitted: Admitted) {
+        self.0.lock().unwrap().push(admitted);
+    }
+
+    pub fn remove(&self, router: RouterNo) {
+        self.0.lock().unwrap().retain(|admitted| admitted.router != router);
+    }
+
+    fn pick(&self, chance: &mut ChaCha8Rng) -> Option<Admitted> {
+        let all = self.0.lock().unwrap();
+        (!all.is_empty()).then(|| all[chance.random_range(0..all.len())])
+    }
+}
+
+pub struct Clients {
+    pub front: Arc<Front>,
+    pub record: Arc<Record>,
+    pub longest_wait: Duration,
+}
+
+/// What a client is about to ask.
+struct Ask {
+    text: String,
+    id: String,
+    class: &'static str,
+    wait: Duration,
+}
+
+impl Clients {
+    /// One client, until this time.
+    pub fn live(&self, chance: &mut ChaCha8Rng, until: Instant) {
+        let mut again = None;
+        while Instant::now() < until {
+            let Some(admitted) = self.front.pick(chance) else {
+                thread::sleep(Duration::from_millis(10));
+                continue;
+            };
+            let Ok(stream) = TcpStream::connect(admitted.address) else {
+                thread::sleep(Duration::from_millis(10));
+                continue;
+            };
+            _ = stream.set_nodelay(true);
+            let mut client = Client::on(stream);
+            for _ in 0..MOST_ON_A_CONNECTION {
+                if Instant::now() >= until {
+                    break;
+                }
+                let (ask, sends) = again.take().unwrap_or_else(|| (self.draw(chance), 1));
+                let (text, ending) = self.request(chance, &mut client, admitted, ask);
+                match ending {
+                    Ending::Value | Ending::Error(_) => {}
+                    Ending::Closed if sends < MOST_SENDS => {
+                        again = Some((text, sends + 1));
+                        break;
+                    }
+                    Ending::Closed | Ending::Silent | Ending::Left => break,
+                }
+                thread::sleep(Duration::from_millis(chance.random_range(0..40)));
+            }
+        }
+    }
+
+    fn draw(&self, chance: &mut ChaCha8Rng) -> Ask {
+        let class = ["look", "look", "enter", "recent"][chance.random_range(0..4)];
+        let wait_ms = chance.random_range(SHORTEST_WAIT_MS..=self.longest_wait.as_millis() as u64);
+        let text = statement(class, wait_ms);
+        let id = text.split("id=").nth(1).and_then(|rest| rest.split(',').next()).unwrap_or_default();
+        Ask { id: id.to_string(), class, wait: Duration::from_millis(wait_ms), text }
+    }
+
+    fn request(
+        &self,
+        chance: &mut ChaCha8Rng,
+        client: &mut Client,
+        admitted: Admitted,
+        ask: Ask,
+    ) -> (Ask, Ending) {
+        let bytes = pg::query(ask.text.as_bytes());
+        let (leaves, slow) = (chance.random_bool(0.06), chance.random_bool(0.06));
+        let (first, rest) = bytes.split_at(if slow { bytes.len() / 2 } else { 0 });
+        let mut written = write(client, first);
+        if slow {
+            thread::sleep(Duration::from_millis(chance.random_range(10..150)));
+        }
+        let begun = Instant::now();
+        written &= write(client, rest);
+        let sent = Instant::now();
+        let ending = if !written {
+            Ending::Closed
+        } else if leaves {
+            thread::sleep(ask.wait.mul_f64(chance.random_range(0.0..0.5)));
+            _ = client.stream.shutdown(std::net::Shutdown::Both);
+            Ending::Left
+        } else {
+            await_reply(client, sent, ask.wait)
+        };
+        self.record.requests.lock().unwrap().push(Request {
+            id: ask.id.clone(),
+            class: ask.class.to_string(),
+            router: admitted.router,
+            process: admitted.process,
+            begun,
+            sent,
+            wait: ask.wait,
+            ended: Instant::now(),
+            ending: ending.clone(),
+        });
+        (ask, ending)
+    }
+}
+
+fn write(client: &mut Client, bytes: &[u8]) -> bool {
+    use std::io::Write;
+    client.stream.write_all(bytes).is_ok()
+}
+
+fn await_reply(client: &mut Client, sent: Instant, wait: Duration) -> Ending {
+    let most = wait + PAST_ITS_TIME;
+    _ = client.stream.set_read_timeout(Some(most));
+    match client.reply() {
+        Reply::Value(_) | Reply::Empty => Ending::Value,
+        Reply::Error(code, _) => Ending::Error(code),
+        Reply::Gone if sent.elapsed() >= most => Ending::Silent,
+        Reply::Gone => Ending::Closed,
+    }
+}
+
+/// An idle client that says nothing for as long as it is let stay.
+pub fn idle(front: &Front, chance: &mut ChaCha8Rng, until: Instant) {
+    use std::io::Read;
+    while Instant::now() < until {
+        let stream = front.pick(chance).and_then(|admitted| TcpStream::connect(admitted.address).ok());
+        if let Some(stream) = stream {
+            let mut client = Client::on(stream);
+            _ = client.stream.set_read_timeout(Some(
+                until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)),
+            ));
+            while client.stream.read(&mut [0; 64]).is_ok_and(|count| count > 0) {}
+        }
+        thread::sleep(Duration::from_millis(chance.random_range(20..200)));
+    }
+}
--- /dev/null
+++ b/crates/router/tests/soak/discovery.rs
@@ -0,0 +1,171 @@
+//! Discovery: one list of versions, told to each router at two addresses of its own.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quillpoint_router::presence::has_hung_up;
+use rand::RngExt;
+
+use crate::plan::Answering;
+use crate::record::{Record, RouterNo, ServerNo, Span, Told};
+use crate::servers::Server;
+
+/// A call that has waited for so long is refused.
+const REFUSED_AFTER: Duration = Duration::from_millis(2000);
+/// How long calls wait in a crowd: some of them too long.
+const CROWD_MS: std::ops::Range<u64> = 1500..2300;
+
+struct State {
+    answering: Answering,
+    /// Which servers drain, by version: version N is the list after N changes.
+    versions: Vec<Vec<ServerNo>>,
+    reachable_since: Option<Instant>,
+}
+
+pub struct Discovery {
+    servers: Vec<Arc<Server>>,
+    /// By router: where it is at first, and where it moves.
+    pub addresses: Vec<[SocketAddr; 2]>,
+    state: (Mutex<State>, Condvar),
+    record: Arc<Record>,
+}
+
+impl Discovery {
+    pub fn start(servers: &[Arc<Server>], routers: usize, record: &Arc<Record>) -> Arc<Self> {
+        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let listeners: Vec<[TcpListener; 2]> = (0..routers).map(|_| [bind(), bind()]).collect();
+        let now = Instant::now();
+        record.versions.lock().unwrap().push(now);
+        let state =
+            State { answering: Answering::AtOnce, versions: vec![Vec::new()], reachable_since: Some(now) };
+        let discovery = Arc::new(Self {
+            servers: servers.to_vec(),
+            addresses: listeners
+                .iter()
+                .map(|two| two.each_ref().map(|one| one.local_addr().unwrap()))
+                .collect(),
+            state: (Mutex::new(state), Condvar::new()),
+            record: Arc::clone(record),
+        });
+        for (router, listener) in
+            listeners.into_iter().enumerate().flat_map(|(router, two)| two.map(|one| (router, one)))
+        {
+            let discovery = Arc::clone(&discovery);
+            thread::spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    let discovery = Arc::clone(&discovery);
+                    thread::spawn(move || discovery.serve(router, stream));
+                }
+            });
+        }
+        discovery
+    }
+
+    pub fn drain(&self, server: ServerNo) {
+        let mut state = self.state.0.lock().unwrap();
+        let mut drains = state.versions.last().cloned().unwrap_or_default();
+        drains.push(server);
+        state.versions.push(drains);
+        self.record.versions.lock().unwrap().push(Instant::now());
+        self.record.drains.lock().unwrap().push((server, state.versions.len() - 1));
+        self.state.1.notify_all();
+    }
+
+    pub fn set(&self, answering: Answering) {
+        let mut state = self.state.0.lock().unwrap();
+        let now = Instant::now();
+        if let Some(from) = state.reachable_since.take() {
+            self.record.reachable.lock().unwrap().push(Span { from, to: now });
+        }
+        state.reachable_since = (answering == Answering::AtOnce).then_some(now);
+        state.answering = answering;
+    }
+
+    /// The list as a router knows it by some version.
+    pub fn list(&self, router: RouterNo, version: usize) -> String {
+        let drains = self.state.0.lock().unwrap().versions[version].clone();
+        self.entries(router, &drains, &[], true)
+    }
+
+    /// Of all servers, or of those that drain by now and did not before.
+    fn entries(&self, router: RouterNo, drains: &[ServerNo], before: &[ServerNo], all: bool) -> String {
+        let entry = |(number, server): (ServerNo, &Arc<Server>)| {
+            let state = if drains.contains(&number) { "terminating" } else { "in_service" };
+            let role = if number == 0 { "primary" } else { "replica" };
+            let endpoint = server.addresses[router];
+            format!(
+                r#"{{"uid":"s-{number}","endpoint":"{endpoint}","az":"a","model":"m","pod_group":0,
+                "state":"{state}","capacity_hint":1.0,"boot_ms":0,"role":"{role}"}}"#
+            )
+        };
+        let told = |number: &ServerNo| all || drains.contains(number) && !before.contains(number);
+        let told = self.servers.iter().enumerate().filter(|(number, _)| told(number));
+        format!("[{}]", told.map(entry).collect::<Vec<_>>().join(","))
+    }
+
+    fn serve(&self, router: RouterNo, mut stream: TcpStream) -> Option<()> {
+        let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
+        while let Some(Ok(call)) = lines.next() {
+            while lines.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {}
+            let number = |name: &str| call.split(name).nth(1)?.split(['&', ' ']).next()?.parse::<u64>().ok();
+            let (from, hold) = (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0)));
+            let answering = self.state.0.lock().unwrap().answering;
+            if answering == Answering::Refuses || !self.waits_its_turn(answering) {
+                stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").ok()?;
+                continue;
+            }
+            let state = self.state.0.lock().unwrap();
+            let same = |state: &mut State| Some(state.versions.len() as u64 - 1) == from;
+            let (state, _) = self.state.1.wait_timeout_while(state, hold, same).unwrap();
+            let (version, answering) = (state.versions.len() - 1, state.answering);
+            let drains = state.versions[version].clone();
+            let before = from.and_then(|from| state.versions.get(from as usize)).cloned();
+            drop(state);
+            // Changes alone, or now and then the whole list.
+            let changed = before.filter(|_| !version.is_multiple_of(3));
+            let all = changed.is_none();
+            let targets = self.entries(router, &drains, &changed.unwrap_or_default(), all);
+            let body = format!(r#"{{"rev":{version},"all":{all},"targets":{targets}}}"#);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            match answering {
+                Answering::Silent => continue,
+                Answering::Cuts => {
+                    _ = stream.write_all(&answer.as_bytes()[..answer.len() / 2]);
+                    return None;
+                }
+                Answering::Dribbles => {
+                    for piece in answer.as_bytes().chunks(answer.len() / 4 + 1) {
+                        stream.write_all(piece).ok()?;
+                        thread::sleep(Duration::from_millis(300));
+                    }
+                }
+                Answering::AtOnce | Answering::Crowded | Answering::Refuses => {
+                    // Nobody is told on a connection that is closed by then.
+                    if has_hung_up(&stream) {
+                        return None;
+                    }
+                    stream.write_all(answer.as_bytes()).ok()?;
+                }
+            }
+            let told = Told { router, version, at: Instant::now() };
+            self.record.told.lock().unwrap().push(told);
+        }
+        None
+    }
+
+    /// Whether a call is come to in time where there are many.
+    fn waits_its_turn(&self, answering: Answering) -> bool {
+        if answering != Answering::Crowded {
+            return true;
+        }
+        if rand::rng().random_bool(0.5) {
+            return false;
+        }
+        let wait = Duration::from_millis(rand::rng().random_range(CROWD_MS));
+        thread::sleep(wait.min(REFUSED_AFTER));
+        wait <= REFUSED_AFTER
+    }
+}
--- /dev/null
+++ b/crates/router/tests/soak/servers.rs
@@ -0,0 +1,195 @@
+//! Servers: a primary and replicas, each at an address of its own for each router, so that it is known who sent what.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quillpoint_rig::store::{parameter, row};
+use quillpoint_router::pg::{self, Asked, Opening};
+
+use crate::plan::{Plan, Serving};
+use crate::record::{Arrival, Record, RouterNo, ServerNo};
+use crate::standin::{VALUE, unix_ms};
+
+/// The bound on bounded reads in the settings, and the allowance of the rules.
+const BOUND_MS: u128 = 300;
+const ALLOWED_MS: u128 = 150;
+/// So long a server that hangs is waited for, at most.
+const NEVER: Duration = Duration::from_secs(20);
+
+struct State {
+    serving: Serving,
+    /// The log stands still since then, as Unix time in milliseconds.
+    stands_since: Option<u128>,
+}
+
+pub struct Server {
+    number: ServerNo,
+    is_primary: bool,
+    takes: Duration,
+    /// By router.
+    pub addresses: Vec<SocketAddr>,
+    state: (Mutex<State>, Condvar),
+    record: Arc<Record>,
+}
+
+/// A statement and when its bytes came.
+struct Arrived {
+    text: String,
+    first: Instant,
+}
+
+impl Server {
+    pub fn start(number: ServerNo, plan: &Plan, record: &Arc<Record>) -> Arc<Self> {
+        let listeners: Vec<TcpListener> =
+            (0..plan.routers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let state = State { serving: Serving::Answers, stands_since: None };
+        let server = Arc::new(Self {
+            number,
+            is_primary: number == 0,
+            takes: plan.takes,
+            addresses: listeners.iter().map(|listener| listener.local_addr().unwrap()).collect(),
+            state: (Mutex::new(state), Condvar::new()),
+            record: Arc::clone(record),
+        });
+        for (router, listener) in listeners.into_iter().enumerate() {
+            let server = Arc::clone(&server);
+            thread::spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    let server = Arc::clone(&server);
+                    thread::spawn(move || server.serve(router, stream));
+                }
+            });
+        }
+        server
+    }
+
+    pub fn set(&self, serving: Serving) {
+        self.state.0.lock().unwrap().serving = serving;
+        self.state.1.notify_all();
+    }
+
+    pub fn applies(&self, goes_on: bool) {
+        self.state.0.lock().unwrap().stands_since = (!goes_on).then(unix_ms);
+    }
+
+    fn serving(&self) -> Serving {
+        self.state.0.lock().unwrap().serving
+    }
+
+    /// Up to when it has applied the log.
+    fn position_ms(&self) -> u128 {
+        self.state.0.lock().unwrap().stands_since.unwrap_or_else(unix_ms)
+    }
+
+    fn serve(&self, router: RouterNo, mut stream: TcpStream) -> Option<()> {
+        if self.serving() == Serving::Refuses {
+            return None;
+        }
+        _ = stream.set_nodelay(true);
+        let mut unread = Vec::new();
+        let (Opening::Startup, _) = next(&mut stream, &mut unread, pg::opening)? else { return None };
+        let mut out = Vec::new();
+        pg::put_welcome(&mut out, None);
+        stream.write_all(&out).ok()?;
+        loop {
+            let (Asked::Query(text), first) = next(&mut stream, &mut unread, pg::asked)? else { return None };
+            let text = String::from_utf8(text).ok()?;
+            let out = if text == "SHOW load" {
+                self.probed()
+            } else {
+                self.asked(router, Arrived { text, first })?
+            };
+            self.write(&mut stream, &out)?;
+        }
+    }
+
+    fn load(&self) -> String {
+        let x0 = self.position_ms() as f64 / 1000.0;
+        format!("x0={x0:.3},x1={}", u8::from(self.is_primary))
+    }
+
+    fn probed(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        pg::put_answer(&mut out, &row(self.load().as_bytes()));
+        pg::put_ready(&mut out);
+        out
+    }
+
+    /// The answer to a statement; none where its connection is to end.
+    fn asked(&self, router: RouterNo, arrived: Arrived) -> Option<Vec<u8>> {
+        let Arrived { text, first } = arrived;
+        let whole = Instant::now();
+        let field = |name: &str| {
+            let rest = text.split(name).nth(1).unwrap_or_default();
+            rest.split([',', ' ']).next().unwrap_or_default().to_string()
+        };
+        let (position, serving) = (self.position_ms(), self.serving());
+        let class = field(",c=");
+        let misplaced = class == "enter" && !self.is_primary;
+        let refused = misplaced || serving == Serving::IsFull;
+        let stale = class == "recent" && !self.is_primary && position + BOUND_MS + ALLOWED_MS < unix_ms();
+        self.record.arrivals.lock().unwrap().push(Arrival {
+            id: field("id="),
+            class,
+            server: self.number,
+            router,
+            first,
+            whole,
+            wait: Duration::from_millis(field(",d=").parse().unwrap_or(u64::MAX)),
+            stale,
+            never_ran: refused,
+        });
+        let mut out = Vec::new();
+        match serving {
+            _ if misplaced => pg::put_error(&mut out, false, "25006", "this is a replica", None),
+            Serving::IsFull => pg::put_error(&mut out, false, "53300", "full", None),
+            Serving::Errs => pg::put_error(&mut out, false, "XX000", "as planned", None),
+            Serving::Resets | Serving::Refuses => return None,
+            Serving::Answers | Serving::Dribbles | Serving::Hangs => {
+                thread::sleep(self.takes);
+                let hangs = |state: &mut State| state.serving == Serving::Hangs && !self.record.is_over();
+                let state = self.state.0.lock().unwrap();
+                drop(self.state.1.wait_timeout_while(state, NEVER, hangs).unwrap());
+                pg::put_answer(&mut out, &row(VALUE));
+            }
+        }
+        parameter(&mut out, "role", if self.is_primary { "primary" } else { "replica" });
+        parameter(&mut out, "applied_ms", &position.to_string());
+        parameter(&mut out, "load", &self.load());
+        pg::put_ready(&mut out);
+        Some(out)
+    }
+
+    fn write(&self, stream: &mut TcpStream, out: &[u8]) -> Option<()> {
+        if self.serving() != Serving::Dribbles {
+            return stream.write_all(out).ok();
+        }
+        for piece in out.chunks(16) {
+            stream.write_all(piece).ok()?;
+            thread::sleep(Duration::from_millis(1));
+        }
+        Some(())
+    }
+}
+
+/// The next message, and when its first byte was seen.
+fn next<T>(
+    stream: &mut TcpStream,
+    unread: &mut Vec<u8>,
+    decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, pg::Broken>,
+) -> Option<(T, Instant)> {
+    let mut first = (!unread.is_empty()).then(Instant::now);
+    loop {
+        if let Some((message, taken)) = decode(unread).ok()? {
+            unread.drain(..taken);
+            return Some((message, first.unwrap_or_else(Instant::now)));
+        }
+        let mut piece = [0; 4096];
+        let count = stream.read(&mut piece).ok().filter(|count| *count > 0)?;
+        first.get_or_insert_with(Instant::now);
+        unread.extend(&piece[..count]);
+    }
+}
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -34,7 +34,7 @@
 /// With so many sockets, and a part of the configuration replaced wherever it stands.
 fn pair_with(sockets: usize, from: &str, to: &str) -> (Node, Node, Running, Discovery) {
     let (primary, replica, list, discovery) = without_router();
-    let text = configuration(&discovery, &list, sockets);
+    let text = configuration(discovery.address, &list, sockets);
     assert!(text.contains(from), "{from}");
     let router = Running::start(&text.replace(from, to));
     (primary, replica, router, discovery)
@@ -286,7 +286,7 @@
     let (_primary, _replica, list, discovery) = without_router();
     discovery.silent.store(true, Ordering::SeqCst);
     let started = Instant::now();
-    let router = Running::start(&configuration(&discovery, &list, 200));
+    let router = Running::start(&configuration(discovery.address, &list, 200));
     discovery.await_calls(1);
     discovery.silent.store(false, Ordering::SeqCst);
     discovery.change(list);
@@ -510,7 +510,7 @@
     let [primary, first, second] = &nodes;
     let only = |node| targets(&[(primary, "primary", "in_service"), (node, "replica", "in_service")]);
     let [old, new] = [first, second].map(|node| Discovery::start(only(node)));
-    let text = configuration(&old, &only(first), 200);
+    let text = configuration(old.address, &only(first), 200);
     // The variable is as old as the process, so the file's word wins from then on.
     let mut router = Running::start_with(&text, &[("GW_DISCOVERY", &old.address.to_string())]);
     old.await_calls(2);
@@ -693,7 +693,7 @@
         (output.status.code(), String::from_utf8(text).unwrap())
     };
     let discovery = Discovery::start("[]".into());
-    let good = configuration(&discovery, "[]", 200);
+    let good = configuration(discovery.address, "[]", 200);
     let check = |text: &str, variables: &[(&str, &str)]| {
         run(&["check", "-c", file(text).to_str().unwrap()], variables)
     };
--- a/crates/router/tests/standin/mod.rs
+++ b/crates/router/tests/standin/mod.rs
@@ -341,7 +341,8 @@
     log: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
-pub fn configuration(discovery: &Discovery, targets: &str, sockets: usize) -> String {
+/// A configuration for a router that asks for its list there. `targets` is the list that it had last.
+pub fn configuration(discovery: SocketAddr, targets: &str, sockets: usize) -> String {
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"Name":"{name}","GiveUpMs":9000.0,"GoalTimeMs":9000.0,"LateValue":0.5,"Value":1.0,
@@ -349,7 +350,6 @@
         )
     };
     let classes = [class("look", "free"), class("enter", "single_shot"), class("recent", "free")].join(",");
-    let discovery = discovery.address;
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"92094eb940cf389a",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
@@ -420,11 +420,16 @@
         lines.iter().find(|line| line.contains(part)).unwrap().clone()
     }
 
+    /// All that it has logged since the start.
+    pub fn lines(&self) -> Vec<String> {
+        self.log.0.lock().unwrap().clone()
+    }
+
     /// Nodes as `(node, role)`, a list that names them, and a router that knows it.
     pub fn among(nodes: &[(&Node, &str)]) -> (Self, Discovery) {
         let all: Vec<_> = nodes.iter().map(|(node, role)| (*node, *role, "in_service")).collect();
         let discovery = Discovery::start(targets(&all));
-        (Self::start(&configuration(&discovery, &targets(&all), 200)), discovery)
+        (Self::start(&configuration(discovery.address, &targets(&all), 200)), discovery)
     }
 
     pub fn client(&self) -> Client {
@@ -432,6 +437,12 @@
     }
 
     pub fn signal(&self, name: &str) {
+        self.try_signal(name).unwrap();
+    }
+
+    /// # Errors
+    /// It has ended.
+    pub fn try_signal(&self, name: &str) -> std::io::Result<()> {
         use rustix::process::{Pid, Signal, kill_process};
         let signal = match name {
             "-TERM" => Signal::TERM,
@@ -440,7 +451,7 @@
             "-CONT" => Signal::CONT,
             other => panic!("{other}"),
         };
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
+        Ok(kill_process(Pid::from_child(&self.child), signal)?)
     }
 
     pub fn ended(&mut self) -> ExitStatus {
