The calibration test counts enough renewals to tell a deviation from chance, and plays once

Cause: three real routers send 24 renewals in the 4 s that were counted, each after 0.8 to 1.2 s by chance, so their rate has a standard error of about 4%, and 22 of them break the bound of 5% with 5.7%. It played again until it held. Change: twelve real routers and 16 s, some 380 renewals (0.8%), the same bounds, one play.

--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -19,9 +19,11 @@
     "follow_missing",
     "calm_missing",
 ];
-/// A machine that is busy with other tests may hold a control instance up for half a second, so that routers turn to
-/// others while it is counted: then it is counted once more. Hollow routers that differ from real ones do so each time.
-const TIMES: usize = 3;
+/// Real routers renew each of two subscriptions about once a second, at intervals that differ by a fifth by chance. Of so
+/// many in so long, some 380 renewals are counted with a standard error of 0.8%: far less than the 5% that are held. Of
+/// three in 4 s there were 24, with one of 4%, so that one message more or less broke the bound.
+const REAL: usize = 12;
+const SECONDS: f64 = 16.0;
 
 fn programs() -> Programs {
     let hollow = PathBuf::from(env!("CARGO_BIN_EXE_scale-hollow"));
@@ -39,23 +41,18 @@
 #[test]
 fn hollow_routers_pass_for_real_ones_and_a_restart_comes_to_calm() {
     let programs = programs();
-    let sizes = with_real(usual(Mode::Feed, 203, 20), 3);
-    let sizes = Sizes { control: 2, period_s: 0.5, seed: 7, seconds: 4.0, ..sizes };
+    let sizes = with_real(usual(Mode::Feed, 200 + REAL, 20), REAL);
+    let sizes = Sizes { control: 2, period_s: 0.5, seed: 7, seconds: SECONDS, ..sizes };
     let wanted = Play { sizes, axis: None, fault: Some(Fault::Restart), with_cpu: false };
-    let mut broken = Vec::new();
-    for _ in 0..TIMES {
-        let line = play(&wanted, &programs).expect("it is played");
-        let Line::Run { bounds, figures, .. } = line else { panic!("a run is told as one") };
-        // One of three is a sixth, upwards. It is started anew, so that it asks for the whole list, as nobody else does.
-        assert_eq!(figures["real_struck"], 1.0);
-        assert_eq!(figures["fault_discovery_lists"], 1.0, "{figures:?}");
-        for name in HELD {
-            assert!(bounds.iter().any(|bound| bound.figure == name), "{name} is counted");
-        }
-        broken = bounds.into_iter().filter(|bound| HELD.contains(&&*bound.figure) && !bound.held).collect();
-        if broken.is_empty() {
-            return;
-        }
+    let line = play(&wanted, &programs).expect("it is played");
+    let Line::Run { bounds, figures, .. } = line else { panic!("a run is told as one") };
+    // A sixth of them. They are started anew, so that they ask for the whole list, as nobody else does.
+    assert_eq!(figures["real_struck"], 2.0);
+    assert_eq!(figures["fault_discovery_lists"], 2.0, "{figures:?}");
+    for name in HELD {
+        assert!(bounds.iter().any(|bound| bound.figure == name), "{name} is counted");
     }
-    panic!("broken each time: {broken:?}");
+    let broken: Vec<_> =
+        bounds.into_iter().filter(|bound| HELD.contains(&&*bound.figure) && !bound.held).collect();
+    assert!(broken.is_empty(), "{broken:?}, {figures:?}");
 }
