--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -482,3 +482,26 @@
     let times = |id: &str| ran.iter().filter(|text| text.contains(id)).count();
     assert!(asked.iter().all(|(id, class, ..)| *class != "enter" || times(id) <= 1), "a second effect");
 }
+
+/// A router that was told to stop ends 50 ms after the last answer is due. One that is held up over that moment comes to
+/// its end before it has come to its answers: what it held was closed without a word.
+#[test]
+fn a_router_that_is_held_up_over_the_end_of_its_stop_answers_first() {
+    let (_, replica, mut router, _discovery) = pair(&[("9000.0", "600.0")], 200);
+    replica.set(Does::Waits);
+    let mut client = router.client();
+    let told = Instant::now();
+    router.signal("-TERM");
+    router.await_line("draining");
+    std::thread::sleep(Duration::from_millis(400));
+    client.ask(&statement("look", 600));
+    replica.await_queries(1);
+    // It ends its RPCs 900 ms after the signal at the latest.
+    std::thread::sleep((told + Duration::from_millis(840)).saturating_duration_since(Instant::now()));
+    router.signal("-STOP");
+    std::thread::sleep(Duration::from_millis(150));
+    router.signal("-CONT");
+    let reply = client.reply();
+    assert!(matches!(reply, Reply::Error(..)), "{reply:?}");
+    assert!(router.ended().success());
+}
