--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,6 +12,11 @@
 //! 5. Giving up: what can no longer be of use, repeats above all, is ended early, and a part of the reads at
 //!    once while nodes say they hold too much; with a time to come back where clients get one.
 //! 6. Long any-reads keep to one member, so that the others apply the log.
+//!
+//! Freshness and probing are in modules of their own.
+
+mod freshness;
+mod probing;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,8 +26,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::host::{
-    CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, PeerWord, Report,
-    Role, Rpc, RpcId, SessionKey, ValueMap, ZoneId,
+    CallEnd, CallNo, Condition, Extent, GroupId, Host, Listed, MethodId, NodeId, Outcome, Report, Role, Rpc,
+    RpcId, SessionKey, ValueMap, ZoneId,
 };
 use crate::state::{ALL, Call, Group, Held, Member, Method, Need, Out, Pick, Repeats, Scope};
 
@@ -279,70 +284,6 @@
         self.settle(now, self.members.get(&end.node).map_or_else(GroupId::default, |member| member.group));
     }
 
-    pub fn probe_ended(&mut self, now: Duration, node: NodeId, end: Outcome, report: Option<Report>) {
-        let Some(member) = self.members.get_mut(&node) else { return };
-        let group = member.group;
-        if end == Outcome::Cancelled {
-            // Left to another router, whose word will come.
-            (member.probing, self.probes) = (false, self.probes + 1.0);
-            return;
-        }
-        // A failed probe drops the node until a later one answers (the design's); an error is an answer too.
-        let answered = matches!(end, Outcome::Ok | Outcome::Error | Outcome::Full);
-        // Guards against a link that loses some of all: what fails at once is tried again before it counts.
-        let again = !answered && end != Outcome::TimedOut && member.failed_probes + 1 < PROBES_FAIL;
-        (member.probing, member.probe_ended, member.shut) =
-            (false, now, !answered && (member.shut || !again));
-        if answered {
-            (member.missed, member.failed_probes, member.heard) = (0.0, 0, Some(now));
-            // Guards against a shortage: a node that is up and refuses has no connection left. All go back.
-            if member.refused > 0 {
-                self.squeezed = now + SQUEEZED;
-                self.members.keys().for_each(|node| self.host.close_idle(*node));
-            }
-        } else {
-            // What refused is down, and not short of connections.
-            (member.failed_probes, member.refused) = ((member.failed_probes + 1).min(MOST_FAILED), 0);
-            if again { self.probe(node) } else { self.lose_primary(now, group, node) }
-        }
-        self.note_report(now, node, report.as_ref());
-        self.settle(now, group);
-    }
-
-    /// What another router has found out. Its word lets a read try a node, whose own answer then decides; it
-    /// names a primary only where none is proven of late, and shuts a node that several do not reach.
-    pub fn peer_told(&mut self, now: Duration, word: PeerWord) {
-        let Some(member) = self.members.get_mut(&word.node) else { return };
-        let (group, newer) = (member.group, member.heard < Some(word.at));
-        if word.failed {
-            member.shut |= newer;
-            _ = newer.then(|| self.lose_primary(now, group, word.node));
-            return;
-        }
-        member.told = member.told.max(word.position.filter(|at| *at <= now));
-        member.heard = member.heard.max(Some(word.at.min(now)));
-        let said = |waiting| (now, Report { waiting: Some(waiting), ..Report::default() });
-        member.said = word.waiting.filter(|_| newer).map(said).or(member.said);
-        if word.started > member.started && word.started <= Some(now) {
-            Self::start(member, &self.methods, &mut self.chance, word.started);
-            self.sweep(now); // it is cold from now on, and not from the next sweep
-        }
-        let known = self.groups.get(&group).and_then(|group| group.primary);
-        let lately = |(_, since, proven): (_, Duration, bool)| proven && since + NO_BOUND > word.at;
-        if word.primary == Some(true) && !known.is_some_and(lately) {
-            self.note_role(now, word.node, Role::Primary, word.at, false);
-        }
-        self.settle(now, group);
-    }
-
-    /// A probe in turn is made, whatever this router itself has need of. False while one is out there.
-    pub fn probe_in_turn(&mut self, node: NodeId) -> bool {
-        let Some(member) = self.members.get_mut(&node).filter(|member| !member.probing) else { return false };
-        member.probing = true;
-        member.credit -= PROBE_WORK * self.methods.iter().map(|method| method.shortest).fold(0.0, f64::max);
-        true
-    }
-
     pub fn client_left(&mut self, rpc: RpcId) {
         self.forget(rpc);
     }
@@ -459,38 +400,6 @@
         shut.into_iter().for_each(|node| self.probe(node));
     }
 
-    /// The one place that probes: one at a time at a node, and no more than RPCs have earned.
-    fn probe(&mut self, node: NodeId) {
-        let Some(member) = self.members.get_mut(&node) else { return };
-        if !self.values.flag("allowed.probes") {
-            // Without probes the next attempt is what tries a silent node.
-            (member.shut, member.missed) = (false, 0.0);
-        } else if !member.probing && self.probes >= 1.0 {
-            self.probes -= 1.0;
-            member.probing = true;
-            self.host.probe(node);
-        }
-    }
-
-    /// Entries older than half the tightest bound are probed, but only for a read that finds no fresh one, as
-    /// with many routers most would age unread: one after the other, or all where nobody has been heard yet.
-    fn probe_for(&mut self, now: Duration, mut nodes: Vec<NodeId>) {
-        let due = |member: &Member| member.heard.unwrap_or_default() + self.tightest / 2 <= now;
-        nodes.retain(|node| self.members[node].is_open() && due(&self.members[node]));
-        let probing = nodes.iter().any(|node| self.members[node].probing);
-        let unheard = nodes.iter().all(|node| self.members[node].heard.is_none());
-        let all = (FIRST_PROBES * nodes.len() as f64 / self.routers).ceil() as usize;
-        let few = if unheard { all } else { usize::from(!probing) };
-        let asked: Vec<NodeId> = nodes.sample(&mut self.chance, few).copied().collect();
-        asked.into_iter().for_each(|node| self.probe(node));
-    }
-
-    /// Guards against sending blindly where only probes tell what nodes hold, and that is much.
-    fn asks_first(&self, now: Duration, member: &Member) -> bool {
-        let full = member.said.is_some_and(|(_, said)| said.active == NO_ROOM);
-        self.probes_only && (full || self.fullness > CALM) && self.said(now, member).is_none()
-    }
-
     fn learn(&mut self, now: Duration, end: &CallEnd) {
         use Outcome::{Cancelled, ConnectFailed, Error, Full, Miss, NotSent, Ok, Spoilt, TimedOut};
         let connect = self.values.span("allowed.connect_time_out").unwrap_or(Duration::MAX);
@@ -580,59 +489,6 @@
         _ = self.members[&end.node].shut.then(|| self.probe(end.node));
     }
 
-    /// A report is old: the position in it is the least age that its word on the role can have.
-    fn note_report(&mut self, now: Duration, node: NodeId, report: Option<&Report>) {
-        let (Some(report), Some(member)) = (report, self.members.get_mut(&node)) else { return };
-        // Where a node does not say what it holds, that RPCs wait there says that it has no room.
-        let queued = NO_ROOM.filter(|_| report.waiting.is_some_and(|waiting| waiting >= 0.5));
-        member.said = Some((now, Report { active: report.active.or(queued), ..*report }));
-        if let Some(active) = report.active.filter(|_| self.probes_only) {
-            let part = (active.max(0.0) / (member.limit * self.routers)).sqrt().min(MOST_FULL);
-            self.fullness += (part - self.fullness) * WEIGHT;
-        }
-        let Some(position) = report.position.filter(|at| *at <= now + HOLD) else { return };
-        self.note_position(now, node, position);
-        if let Some(primary) = report.primary {
-            let role = if primary { Role::Primary } else { Role::Replica };
-            self.note_role(now, node, role, position, false);
-        }
-    }
-
-    fn note_position(&mut self, now: Duration, node: NodeId, position: Duration) {
-        let Some(member) = self.members.get_mut(&node) else { return };
-        (member.position, member.heard) = (member.position.max(Some(position.min(now))), Some(now));
-        // A log only grows: a peer's word above what the node itself says now was no word of this node.
-        member.told = member.told.filter(|told| *told <= position + millis(2));
-    }
-
-    /// The newest evidence of a role wins; `proven` is what an answer itself says, and not a report.
-    fn note_role(&mut self, now: Duration, node: NodeId, role: Role, at: Duration, proven: bool) {
-        let Some(member) = self.members.get_mut(&node) else { return };
-        // On a tie a replica's word wins, as the one that does no harm.
-        if member.role.is_some_and(|(was, known)| known > at || (known == at && was == Role::Replica)) {
-            return;
-        }
-        member.role = Some((role, at));
-        let id = member.group;
-        let group = self.groups.entry(id).or_default();
-        match (role, group.primary) {
-            (Role::Primary, Some((known, since, was))) if known == node => {
-                group.primary = Some((node, since.max(at), was || proven));
-            }
-            (Role::Primary, Some((_, since, _))) if since > at => {}
-            (Role::Primary, _) if at + NO_BOUND > now => group.primary = Some((node, at, proven)),
-            (Role::Replica, Some((_, since, _))) if at >= since => self.lose_primary(now, id, node),
-            _ => {}
-        }
-    }
-
-    fn lose_primary(&mut self, now: Duration, group: GroupId, node: NodeId) {
-        let group = self.groups.entry(group).or_default();
-        if group.primary.is_some_and(|(known, _, _)| known == node) {
-            (group.primary, group.lost) = (None, now);
-        }
-    }
-
     /// After an attempt that did not finish its RPC: a further one, or the end.
     fn go_on(&mut self, now: Duration, id: RpcId) {
         let held = &self.held[&id];
@@ -864,39 +720,6 @@
         member.warmth * member.good * member.good * self.nearness(member).powi(4) * self.free(now, member)
     }
 
-    /// Whether rule 5 lets this node answer this read: by proof, or on peers' word (`may_pass`).
-    fn is_current(&self, now: Duration, held: &Held, node: NodeId) -> bool {
-        let told = self.members[&node].told;
-        self.is_proven(now, held, node) || told.is_some_and(|told| told >= self.needed_position(now, held))
-    }
-
-    /// By a position that the node itself told, or by being the primary.
-    fn is_proven(&self, now: Duration, held: &Held, node: NodeId) -> bool {
-        let primary = self.groups[&held.rpc.group].primary;
-        primary.is_some_and(|(primary, _, proven)| primary == node && proven)
-            || self.members[&node].position.unwrap_or_default() >= self.needed_position(now, held)
-    }
-
-    fn needed_position(&self, now: Duration, held: &Held) -> Duration {
-        match self.methods[held.rpc.method.0].need {
-            Need::Any | Need::Write => Duration::ZERO,
-            Need::Fresh => held.arrived,
-            Need::Session => held.token.max(self.written(now, &held.rpc)).unwrap_or_default(),
-            Need::Bounded(bound) => now.saturating_sub(bound),
-        }
-    }
-
-    /// What a session has written through here. A write whose answer stays away may be committed, and its
-    /// answer have gone astray.
-    fn written(&self, now: Duration, rpc: &Rpc) -> Option<Duration> {
-        let session = rpc.session.filter(|_| self.remembers);
-        let group = self.groups.get(&rpc.group)?;
-        let mut outs = group.members.iter().flat_map(|node| &self.members[node].out);
-        let astray = outs.any(|out| out.writes == session && out.sent + HEARD <= now);
-        let token = self.tokens.get(&(rpc.group, session?)).copied().or(group.passed);
-        token.max(astray.then(|| now - HEARD))
-    }
-
     /// The one gate: each of the five rules is kept here. Every attempt passes when it is ordered, and again,
     /// then with its number, before its first byte.
     fn gate(&self, now: Duration, id: RpcId, node: NodeId, ordered: Option<usize>) -> bool {
@@ -940,18 +763,6 @@
         true
     }
 
-    /// Asked before an ok goes to its client: not if it shows itself stale, or on peers' word alone.
-    pub fn may_pass(&self, now: Duration, id: RpcId, call: CallNo, position: Option<Duration>) -> bool {
-        let needs = self.held.get(&id).and_then(|held| held.calls.get(call.0 as usize)?.needs);
-        let (needs, proven) = needs.unwrap_or((Duration::ZERO, true));
-        position.filter(|at| *at <= now + HOLD).map_or(proven, |at| at >= needs)
-    }
-
-    /// The position that the answer must not fall short of, and whether the node has proven as much before.
-    fn needs(&self, now: Duration, held: &Held, node: NodeId) -> Option<(Duration, bool)> {
-        (!self.checked).then(|| (self.needed_position(now, held), self.is_proven(now, held, node)))
-    }
-
     fn send(&mut self, now: Duration, id: RpcId, node: NodeId) {
         self.leave_line(id);
         if !self.gate(now, id, node, None) {
