--- a/crates/router/tests/soak/plan.rs
+++ b/crates/router/tests/soak/plan.rs
@@ -13,6 +13,8 @@
 
 /// How long clients go on asking.
 const LASTS: Duration = ms(9000);
+/// So often each router's processes are held up for a moment.
+const HOLD_UPS: usize = 6;
 
 /// What a server does with statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,8 +159,10 @@
             for step in 0..chance.random_range(0..4) {
                 self.events.push((at + ms(40 * step), Event::Reload(router, chance.random_bool(0.7))));
             }
-            let held = ms(chance.random_range(20..150));
-            self.events.push((self.moment(chance), Event::HoldUp(router, held)));
+            for _ in 0..HOLD_UPS {
+                let held = ms(chance.random_range(20..150));
+                self.events.push((self.moment(chance), Event::HoldUp(router, held)));
+            }
             if router == 0 {
                 continue;
             }
--- a/crates/router/tests/soak/routers.rs
+++ b/crates/router/tests/soak/routers.rs
@@ -208,14 +208,14 @@
     /// Waits until its process has ended by itself, or kills it at this time; at once where none is told.
     fn end(&self, router: &Router, killed_at: Option<Instant>) {
         let by_itself = loop {
-            let mut running = router.running.lock().unwrap();
-            let Some(running) = running.as_mut() else { return };
-            if running.child.try_wait().is_ok_and(|ended| ended.is_some_and(|status| status.success())) {
+            let Some(ended_well) = ended_well(router) else { return };
+            if ended_well {
                 break true;
             }
             if killed_at.is_none_or(|at| Instant::now() >= at) {
                 break false;
             }
+            // Not while its lock is held: signals to it need it too.
             thread::sleep(LOOK);
         };
         let ended = Instant::now();
@@ -280,6 +280,13 @@
     }
 }
 
+/// Whether its process has ended with success; none where it has no process.
+fn ended_well(router: &Router) -> Option<bool> {
+    let mut running = router_running(router);
+    let status = running.as_mut()?.child.try_wait();
+    Some(status.is_ok_and(|ended| ended.is_some_and(|status| status.success())))
+}
+
 fn router_running(router: &Router) -> std::sync::MutexGuard<'_, Option<Running>> {
     router.running.lock().unwrap()
 }
