--- a/crates/feed/tests/parts.rs
+++ b/crates/feed/tests/parts.rs
@@ -731,6 +731,39 @@
     assert_eq!(at, ms(now + 350), "three that came one by one: it counts");
 }
 
+#[test]
+fn a_router_that_was_held_up_reads_what_has_come_before_it_takes_anyone_for_silent() {
+    let desk = Desk::default();
+    let mut router = subscriber(&desk);
+    let control = name("c0");
+    let tell = |router: &mut Subscriber<Desk>, at: u64| {
+        router.message_arrived(
+            ms(at),
+            &control,
+            Incarnation(7),
+            Message::Digest(said(at as u32 / 100, at, 1)),
+        );
+    };
+    for at in (50..2000).step_by(50) {
+        if at % 100 == 0 {
+            tell(&mut router, at);
+        }
+        router.timer_fired(ms(at));
+    }
+    assert!(router.follows(&control));
+    // Held up for longer than a silence may last: its timer comes first, and then what waits in its socket.
+    router.timer_fired(ms(2750));
+    assert!(router.follows(&control) && !router.is_alone(), "its digests lie in the socket");
+    (2000..2750).step_by(100).for_each(|at| tell(&mut router, at));
+    router.timer_fired(ms(2800));
+    assert!(router.follows(&control));
+    // One that has said nothing by the next look is lost as ever.
+    router.timer_fired(ms(4000));
+    assert!(router.follows(&control));
+    router.timer_fired(ms(4050));
+    assert!(!router.follows(&control));
+}
+
 #[test]
 fn thousands_who_have_reason_to_look_do_not_look_at_once() {
     let mut chance = ChaCha8Rng::seed_from_u64(2);
