A router that was held up reads its datagrams before it takes a control instance for silent

A timer that fires 200 ms late or more looks at nothing and comes again after 50 ms: what has come meanwhile is read first.

--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -21,6 +21,8 @@
 /// Copies of so many others are kept for when they speak again.
 const RESTING: usize = 2;
 const TICK: Duration = Duration::from_millis(50);
+/// A timer that fires so long after the last time was held up with its process.
+const HELD_UP: Duration = Duration::from_millis(200);
 /// One that has sent no digest for so many of their intervals is lost.
 const SILENT: u32 = 5;
 /// How often a subscription is said again, and at first, until the other speaks.
@@ -127,6 +129,8 @@
     alone: bool,
     told_alone: bool,
     left: bool,
+    /// When the timer fired last.
+    ticked: Duration,
 }
 
 impl Followed {
@@ -170,6 +174,7 @@
             alone: true,
             told_alone: false,
             left: false,
+            ticked: now,
         };
         subscriber.share.begin(now, &mut subscriber.chance);
         let first = subscriber.part_of(TICK);
@@ -291,6 +296,12 @@
         if self.left {
             return;
         }
+        let held_up = now.saturating_sub(self.ticked) >= HELD_UP;
+        self.ticked = now;
+        if held_up {
+            // It reads first what has come meanwhile, and would else take its own silence for that of others.
+            return self.host.wake(TICK);
+        }
         self.lose_silent(now);
         self.look(now);
         self.follow_enough(now);
