Review case 1: a late second copy of an answer is served to the next request

What was done: a case with its stand-ins under review/. Nodes write one good answer in twenty a second time directly behind the first, with TCP_NODELAY off, when no further request has arrived.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the cases under review/ start. They use the standard library alone, so nothing is
+# fetched. The routers themselves are built by the command of deploy/balancer.toml.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+CARGO_TARGET_DIR="$PWD/target" cargo build --release --offline
