--- a/review/standin-2/src/bin/long-line.rs
+++ b/review/standin-2/src/bin/long-line.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use quillpoint_review_standin_2::client::{self, Client, Reply};
-use quillpoint_review_standin_2::discovery::{Discovery, Target, targets_json};
+use quillpoint_review_standin_2::discovery::Discovery;
 use quillpoint_review_standin_2::node::Node;
 use quillpoint_review_standin_2::record::Record;
 use quillpoint_review_standin_2::router::{Configuration, Router};
@@ -25,17 +25,12 @@
 fn main() {
     let record = Record::create();
     let nodes = [
-        Node::start(&record, "s-1", 0, true),
-        Node::start(&record, "s-2", 0, false),
-        Node::start(&record, "s-3", 0, false),
+        Node::start(&record, "s-1", true),
+        Node::start(&record, "s-2", false),
+        Node::start(&record, "s-3", false),
     ];
-    let targets = [
-        Target::new("s-1", nodes[0].address, 0, "primary"),
-        Target::new("s-2", nodes[1].address, 0, "replica"),
-        Target::new("s-3", nodes[2].address, 0, "replica"),
-    ];
-    let discovery = Discovery::start(&record, &targets);
-    let mut router = Router::start(&record, &Configuration::hive(discovery.address, targets_json(&targets)));
+    let discovery = Discovery::start(&nodes);
+    let mut router = Router::start(&record, &Configuration::hive(&discovery));
     let address = router.address;
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -118,10 +118,3 @@
         "/* id={id},c={class},d={wait_ms},cluster={group} */ SELECT data FROM facts WHERE code = '{code}'"
     )
 }
-
-/// A write in the form of the protocol page.
-pub fn write(id: &str, class: &str, wait_ms: u64, group: u64, code: &str) -> String {
-    format!(
-        "/* id={id},c={class},d={wait_ms},cluster={group} */ INSERT INTO facts (code, data) VALUES ('{code}', '\\x9f03') RETURNING data"
-    )
-}
--- a/review/standin-2/src/router.rs
+++ b/review/standin-2/src/router.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::client::{Client, Reply};
+use crate::discovery::Discovery;
 use crate::record::Record;
 
 /// What the configuration says. The settings are those of a small deployment.
@@ -16,61 +17,34 @@
     pub targets: String,
     pub memory_mb: u64,
     pub sockets: u64,
-    /// `Classes`, as JSON.
-    pub classes: String,
-    /// `Extra`, as JSON.
-    pub extra: String,
-    /// `Invariants`, as JSON.
-    pub invariants: String,
 }
 
 /// The classes of the deployment hive-weights-ke.
-pub const CLASSES: &str = r#"[
+const CLASSES: &str = r#"[
  {"Name":"latest-weight","Semantics":"free","GoalTimeMs":150.0,"GiveUpMs":600.0,"Value":1.0,"LateValue":0.0},
  {"Name":"season-history","Semantics":"free","GoalTimeMs":150.0,"GiveUpMs":500.0,"Value":1.0,"LateValue":0.2},
  {"Name":"harvest-entry","Semantics":"single_shot","GoalTimeMs":300.0,"GiveUpMs":3000.0,"Value":6.0,"LateValue":0.3}]"#;
 
 /// What the data must be there: latest-weight 300 ms old at most, season-history any, harvest-entry a write.
-pub const EXTRA: &str = r#"{"NeedsByClass":["recent","loose","update"],"ClassBoundMs":[300.0,0.0,0.0],
+const EXTRA: &str = r#"{"NeedsByClass":["recent","loose","update"],"ClassBoundMs":[300.0,0.0,0.0],
  "Checks":"none","RoleListed":"delayed","Stamps":true,"WriteMarks":"router"}"#;
 
 /// The limits of the deployment hive-weights-ke.
-pub const INVARIANTS: &str = r#"{"AskEveryMs":10000.0,"DrainGraceMs":2000.0,"ColdFrom":0.24,"ColdMs":18000.0,
+const INVARIANTS: &str = r#"{"AskEveryMs":10000.0,"DrainGraceMs":2000.0,"ColdFrom":0.24,"ColdMs":18000.0,
  "FallMultiple":3.0,"OverloadForMs":1000.0}"#;
 
 impl Configuration {
-    pub fn hive(discovery: SocketAddr, targets: String) -> Self {
+    pub fn hive(discovery: &Discovery) -> Self {
         Self {
-            discovery,
-            targets,
+            discovery: discovery.address,
+            targets: discovery.targets.clone(),
             memory_mb: 192,
             sockets: 1024,
-            classes: CLASSES.to_string(),
-            extra: EXTRA.to_string(),
-            invariants: INVARIANTS.to_string(),
-        }
-    }
-
-    /// The classes and limits of the deployment mdn-vasteras.
-    pub fn mdn(discovery: SocketAddr, targets: String) -> Self {
-        let classes = r#"[
- {"Name":"lookup","Semantics":"free","GoalTimeMs":600.0,"GiveUpMs":2000.0,"Value":1.0,"LateValue":0.0},
- {"Name":"own-read","Semantics":"free","GoalTimeMs":300.0,"GiveUpMs":1200.0,"Value":1.0,"LateValue":0.0},
- {"Name":"upload","Semantics":"single_shot","GoalTimeMs":750.0,"GiveUpMs":2000.0,"Value":3.0,"LateValue":0.7}]"#;
-        let extra = r#"{"NeedsByClass":["recent","own_writes","update"],"ClassBoundMs":[500.0,0.0,0.0],
- "Checks":"reject","RoleListed":"delayed","Stamps":true,"WriteMarks":"client"}"#;
-        let invariants = r#"{"AskEveryMs":10000.0,"DrainGraceMs":250.0,"ColdFrom":0.19,"ColdMs":17000.0,
- "FallMultiple":3.0,"OverloadForMs":3000.0}"#;
-        Self {
-            classes: classes.to_string(),
-            extra: extra.to_string(),
-            invariants: invariants.to_string(),
-            ..Self::hive(discovery, targets)
         }
     }
 
     fn json(&self, listen: SocketAddr) -> String {
-        let Self { discovery, targets, memory_mb, sockets, classes, extra, invariants } = self;
+        let Self { discovery, targets, memory_mb, sockets } = self;
         format!(
             r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
@@ -78,9 +52,9 @@
 "settings":{{"Balancers":1,"StepMs":2.0,"Discovery":"subscribe","FailureDomains":["a"],"Skus":["std"],
 "Allowed":{{"MaxAttempts":8,"MostHeld":20000,"ConnectTimeoutMs":250.0,"ConnIdleMs":30000.0,
 "MaxRetryAfterMs":1000.0,"Probes":true,"MayDuplicate":true,"RetryAfter":true}},
-"Classes":{classes},"Extra":{extra},
+"Classes":{CLASSES},"Extra":{EXTRA},
 "Feedback":{{"Source":"answers","Fields":["x0","x1","queue"]}},
-"Invariants":{invariants},"Tariffs":{{"Probe":0.023}}}}}}"#
+"Invariants":{INVARIANTS},"Tariffs":{{"Probe":0.023}}}}}}"#
         )
     }
 }
