--- a/review/standin-2/src/bin/half-requests.rs
+++ b/review/standin-2/src/bin/half-requests.rs
@@ -78,18 +78,17 @@
     while !is_over.load(Ordering::SeqCst) {
         let id = client::new_id();
         let text = client::read(&id, "season-history", WAIT.as_millis() as u64, 0, "7f3a9c21");
-        let mut sent = Instant::now();
-        let mut reply = match &mut connection {
-            Some(client) => client.ask(&text),
-            None => Reply::None("no connection".into()),
-        };
-        if matches!(&reply, Reply::None(_)) {
+        let mut answer = Asked::on(connection.as_mut(), &text);
+        if matches!(answer.reply, Reply::None(_)) {
             // The connection was closed between requests, or there was none: a new one, with the query
             // directly after the startup packet.
-            sent = Instant::now();
-            (reply, connection) = ask_anew(router, &text, patience);
+            connection = Client::connect_and_send(router, patience, &text).ok();
+            answer = Asked::sent(connection.as_mut());
+        }
+        let Asked { reply, took } = answer;
+        if matches!(reply, Reply::None(_)) {
+            connection = None;
         }
-        let took = sent.elapsed();
         asked += 1;
         record.line(&format!(
             "client {number}: {id}: {} after {:.1} ms",
@@ -108,14 +107,23 @@
     asked
 }
 
-fn ask_anew(router: std::net::SocketAddr, text: &str, patience: Duration) -> (Reply, Option<Client>) {
-    match Client::connect_and_send(router, patience, text) {
-        Ok(mut client) => {
-            let reply = client.reply();
-            let is_open = !matches!(reply, Reply::None(_));
-            (reply, is_open.then_some(client))
-        }
-        Err(error) => (Reply::None(error.kind().to_string()), None),
+/// The answer to a request, and how long after the request's last byte was written it came.
+struct Asked {
+    reply: Reply,
+    took: Duration,
+}
+
+impl Asked {
+    /// Asks on a connection, if there is one.
+    fn on(client: Option<&mut Client>, text: &str) -> Self {
+        Self::sent(client.and_then(|client| client.send(text).is_ok().then_some(client)))
+    }
+
+    /// Waits for the answer to a request that has just been written.
+    fn sent(client: Option<&mut Client>) -> Self {
+        let written = Instant::now();
+        let reply = client.map_or_else(|| Reply::None("no connection".into()), Client::reply);
+        Self { reply, took: written.elapsed() }
     }
 }
 
