--- a/review/standin-2/src/bin/planned-restart.rs
+++ b/review/standin-2/src/bin/planned-restart.rs
@@ -15,7 +15,7 @@
 use quillpoint_review_standin_2::{cannot_run, has_trouble, pg};
 
 /// Less than a third of the descriptors.
-const CLIENTS: usize = 200;
+const CLIENTS: usize = 300;
 const COMMANDS: usize = 100;
 /// The platform kills the router no earlier than the longest deadline (3 s) and 0.7 s after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(3700);
