Statements: the check for one statement is linear in the statement's length

Cause: at each semicolon outside of quotes the scan looked at all bytes up to the end. Now the first such semicolon ends the scan, with one look at what follows. A value that cannot be read is quoted with its first 64 characters: escaped, it was sent back up to ten times as long.

--- a/crates/router/src/client/intake.rs
+++ b/crates/router/src/client/intake.rs
@@ -14,7 +14,7 @@
 use crate::receive_buffer::ReceivedMessage;
 use crate::request_pipeline::RequestPipeline;
 use crate::socket_liveness::{ClientLiveness, unread_bytes};
-use crate::statement::{InFlightStatement, Statement};
+use crate::statement::{InFlightStatement, Statement, quoted_part};
 
 /// The session ends after this many consecutive unusable statements: it is not a client of this service.
 const MAX_CONSECUTIVE_UNUSABLE_STATEMENTS: usize = 8;
@@ -138,7 +138,7 @@
             Err(error) => return unusable(error.sqlstate(), &error.to_string()),
         };
         let Some(method) = engine.method_by_name(&statement.method) else {
-            let message = format!("the comment's c names no class: {:?}", statement.method);
+            let message = format!("the comment's c names no class: {:?}", quoted_part(&statement.method));
             return unusable("22023", &message);
         };
         if engine.writes(method) != statement.writes {
--- a/crates/router/src/statement.rs
+++ b/crates/router/src/statement.rs
@@ -18,7 +18,7 @@
 use crate::socket_liveness::ClientLiveness;
 
 use comment::Comment;
-pub use error::StatementError;
+pub use error::{StatementError, quoted_part};
 
 /// A statement with its leading comment.
 #[derive(Debug, PartialEq, Eq)]
--- a/crates/router/src/statement/comment.rs
+++ b/crates/router/src/statement/comment.rs
@@ -100,7 +100,7 @@
 
 fn parse_id(value: &str) -> Result<String, StatementError> {
     if value.is_empty() || value.len() > MAX_ID_BYTES {
-        return Err(StatementError::InvalidField("id", value.chars().take(MAX_ID_BYTES).collect()));
+        return Err(StatementError::invalid_field("id", value));
     }
     Ok(value.to_string())
 }
@@ -108,19 +108,19 @@
 fn parse_remaining(value: &str) -> Result<Duration, StatementError> {
     let remaining = parse_ms("d", value)?;
     if remaining.is_zero() {
-        return Err(StatementError::InvalidField("d", value.to_string()));
+        return Err(StatementError::invalid_field("d", value));
     }
     Ok(remaining)
 }
 
 fn parse_replica_set(value: &str) -> Result<ReplicaSetId, StatementError> {
-    let invalid = |_| StatementError::InvalidField("cluster", value.to_string());
+    let invalid = |_| StatementError::invalid_field("cluster", value);
     value.parse().map(ReplicaSetId).map_err(invalid)
 }
 
 /// Parses a time in milliseconds, and rounds it to a microsecond.
 fn parse_ms(name: &'static str, value: &str) -> Result<Duration, StatementError> {
     let ms = value.parse().ok().filter(|ms: &f64| (0.0..TIME_LIMIT_MS).contains(ms));
-    let ms = ms.ok_or_else(|| StatementError::InvalidField(name, value.to_string()))?;
+    let ms = ms.ok_or_else(|| StatementError::invalid_field(name, value))?;
     Ok(Duration::from_micros((ms * 1000.0).round() as u64))
 }
--- a/crates/router/src/statement/error.rs
+++ b/crates/router/src/statement/error.rs
@@ -23,7 +23,21 @@
     NotOneStatement,
 }
 
+/// The most characters of a client's text that an error message repeats: it is escaped, and so may become
+/// several times as long.
+const MAX_QUOTED_CHARS: usize = 64;
+
+/// The beginning of a client's text, for an error message.
+pub fn quoted_part(text: &str) -> String {
+    text.chars().take(MAX_QUOTED_CHARS).collect()
+}
+
 impl StatementError {
+    /// The error for a field with this value, of which the message repeats the beginning.
+    pub(super) fn invalid_field(name: &'static str, value: &str) -> Self {
+        Self::InvalidField(name, quoted_part(value))
+    }
+
     /// Returns the SQLSTATE to send to the client.
     pub fn sqlstate(&self) -> &'static str {
         match self {
--- a/crates/router/src/statement/sql.rs
+++ b/crates/router/src/statement/sql.rs
@@ -17,10 +17,14 @@
     }
 }
 
+/// Each byte is looked at a fixed number of times, however many semicolons and quotes there are.
 fn check_is_one_statement(sql: &[u8]) -> Result<(), StatementError> {
-    let mut at = 0;
-    while at < sql.len() {
-        at += token_length(&sql[at..])?;
+    let mut rest = sql;
+    while let Some(first) = rest.first() {
+        if *first == b';' {
+            return check_ends_statement(rest);
+        }
+        rest = &rest[token_length(rest)?..];
     }
     Ok(())
 }
@@ -32,15 +36,17 @@
     Ok(match rest[0] {
         quote @ (b'\'' | b'"') => 2 + position(&[quote]).ok_or(StatementError::NotOneStatement)?,
         _ if rest.starts_with(b"/*") => 3 + position(b"*/").ok_or(StatementError::NotOneStatement)?,
-        _ if rest.starts_with(b"--") => 2 + position(b"\n").unwrap_or(rest.len()),
-        b';' if !ends_statement(rest) => return Err(StatementError::NotOneStatement),
+        _ if rest.starts_with(b"--") => 2 + position(b"\n").unwrap_or(rest.len() - 2),
         _ => 1,
     })
 }
 
-/// Whether `rest` consists of whitespace and semicolons.
-fn ends_statement(rest: &[u8]) -> bool {
-    rest.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';')
+/// Checks that only whitespace and semicolons follow the first semicolon outside of quotes and comments.
+fn check_ends_statement(rest: &[u8]) -> Result<(), StatementError> {
+    match rest.iter().all(|byte| byte.is_ascii_whitespace() || *byte == b';') {
+        true => Ok(()),
+        false => Err(StatementError::NotOneStatement),
+    }
 }
 
 /// Returns the first literal in single quotes. In both statement forms that clients send it is the session's
--- a/crates/router/tests/sockets/client_input.rs
+++ b/crates/router/tests/sockets/client_input.rs
@@ -1,9 +1,12 @@
 //! Invalid input from clients, and the startup of sessions.
 
+use std::io::Write;
+use std::time::{Duration, Instant};
+
 use quillpoint_router::pg::{self, BackendMessage};
 
-use crate::standin::{NodeBehavior, Reply, statement};
-use crate::{error, no_capacity, ok, start_pair};
+use crate::standin::{Client, NodeBehavior, Reply, statement};
+use crate::{LOOK, SHORT_DEADLINE_LOOK, error, no_capacity, ok, start_pair, start_pair_with};
 
 /// Guards against invalid statements and messages that are not answered, or that affect other sessions.
 #[test]
@@ -57,7 +60,6 @@
 /// message.
 #[test]
 fn client_that_is_still_sending_receives_the_error() {
-    use std::io::Write;
     let (_, _, router, _discovery) = start_pair();
     let mut client = router.client();
     let mut stream = client.stream.try_clone().unwrap();
@@ -115,11 +117,41 @@
     assert_eq!((client.reply(), client.next_message()), (error("08P01"), None));
 }
 
+/// Guards against a long statement of semicolons that kept the router from all other work for seconds: usual
+/// clients were answered only long after their time.
+#[test]
+fn long_statements_do_not_delay_other_sessions() {
+    const MAX_DELAY: Duration = Duration::from_millis(500);
+    let (_, _, router, _discovery) = start_pair_with(200, LOOK, SHORT_DEADLINE_LOOK);
+    let (mut flooding, mut normal) = (router.client(), router.client());
+    assert_eq!(normal.rpc("look", 500), ok());
+    let statements = ["SELECT 1", &statement("look", 500)]
+        .map(|start| format!("{start}{}", ";".repeat(130_000)))
+        .map(|text| pg::query_message(text.as_bytes()));
+    let address = router.address;
+    let sender = std::thread::spawn(move || {
+        for _ in 0..20 {
+            // The session ends after some unusable statements.
+            for text in &statements {
+                if flooding.stream.write_all(text).is_err() {
+                    flooding = Client::connect(address);
+                }
+            }
+        }
+    });
+    while !sender.is_finished() {
+        let sent = Instant::now();
+        assert_eq!(normal.rpc("look", 500), ok());
+        assert!(sent.elapsed() < MAX_DELAY, "answered after {:?}", sent.elapsed());
+    }
+    sender.join().unwrap();
+}
+
 /// Guards against startup sequences of real clients that fail: encryption requests, a first query together
 /// with the startup packet, and cancel requests.
 #[test]
 fn session_startup_follows_the_protocol() {
-    use std::io::{Read, Write};
+    use std::io::Read;
     let (_, _, router, _discovery) = start_pair();
     let mut raw = std::net::TcpStream::connect(router.address).unwrap();
     let mut byte = [0];
