Receive buffers: each byte is copied at most twice, in whatever pieces it arrives

Cause: each decoded message moved all bytes behind it, and each piece of a long message enlarged its buffer by exactly that piece.

Change: one buffer of chunks for both clients and nodes, which joins the chunks of a message once it is whole. Capacities follow what has arrived, as before.

--- a/crates/router/src/client/request_loop.rs
+++ b/crates/router/src/client/request_loop.rs
@@ -13,7 +13,7 @@
 use super::response_writer::write_response;
 use super::session::Session;
 use super::session_end::{Ending, Intake, SessionEnd, SessionResult};
-use crate::pg;
+use crate::pg::{self, Framing};
 use crate::receive_buffer::ReceiveError;
 use crate::request_pipeline::RequestPipeline;
 
@@ -87,7 +87,7 @@
         while self.intake() != Intake::Closed
             && self.pipeline.has_capacity(self.session.clients.is_memory_critical())
         {
-            match self.session.buffer.decode_next(pg::decode_frontend_message) {
+            match self.session.buffer.decode_next(Framing::Typed, pg::decode_frontend_message) {
                 Ok(None) => break,
                 Ok(Some(received)) => {
                     self.session.opening_deadline = None;
--- a/crates/router/src/client/session.rs
+++ b/crates/router/src/client/session.rs
@@ -14,7 +14,7 @@
 use super::response_writer::write_response;
 use super::session_end::{SessionEnd, SessionResult};
 use crate::descriptors::{DescriptorPermit, EvictionPriority};
-use crate::pg::{self, CancelKey, StartupPacket};
+use crate::pg::{self, CancelKey, Framing, StartupPacket};
 use crate::receive_buffer::{READ_CHUNK_BYTES, ReceiveBuffer};
 use crate::session_commits::SessionCommits;
 use crate::socket;
@@ -95,7 +95,7 @@
     async fn next_startup_packet(&mut self) -> Result<StartupPacket, SessionEnd> {
         let mut message_deadline = self.opening_deadline;
         loop {
-            if let Some(received) = self.buffer.decode_next(pg::decode_startup_packet)? {
+            if let Some(received) = self.buffer.decode_next(Framing::Startup, pg::decode_startup_packet)? {
                 return Ok(received.message);
             }
             self.receive_next(&mut message_deadline).await?;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod events;
 pub mod http;
 pub mod memory_report;
+pub mod message_buffer;
 mod observation_exchange;
 mod observations;
 pub mod pg;
--- a/crates/router/src/pg.rs
+++ b/crates/router/src/pg.rs
@@ -10,6 +10,7 @@
     BackendMessage, Column, decode_backend_message, encode_empty_query_response, encode_error,
     encode_ready_for_query, encode_result, encode_session_start,
 };
+pub use framing::{Framing, MESSAGE_HEAD_BYTES};
 pub use frontend::{
     CancelKey, FrontendMessage, StartupPacket, decode_frontend_message, decode_startup_packet, encode_query,
     encode_startup, query_message,
--- a/crates/router/src/pg/framing.rs
+++ b/crates/router/src/pg/framing.rs
@@ -3,6 +3,33 @@
 use super::{Decoded, ProtocolViolation};
 
 const LENGTH_BYTES: usize = 4;
+const TYPE_BYTES: usize = 1;
+
+/// How many bytes at the start of a message are enough to find its length and, where the decoders check an
+/// incomplete message, what they check.
+pub const MESSAGE_HEAD_BYTES: usize = 11;
+
+/// How messages are delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Startup packets, which begin with their length.
+    Startup,
+    /// All other messages, which begin with a type byte and their length.
+    Typed,
+}
+
+impl Framing {
+    /// The length in bytes that the message at the start of `bytes` announces, or `None` if there are too few
+    /// bytes. It is not checked.
+    pub fn message_bytes(self, bytes: &[u8]) -> Option<usize> {
+        let prefix_bytes = match self {
+            Self::Startup => 0,
+            Self::Typed => TYPE_BYTES,
+        };
+        let length = bytes.get(prefix_bytes..)?.first_chunk()?;
+        Some(prefix_bytes + u32::from_be_bytes(*length) as usize)
+    }
+}
 
 /// Reads the fields of a message body.
 pub struct FieldReader<'a> {
@@ -87,7 +114,7 @@
     let max_length = max_length(*type_byte).ok_or(ProtocolViolation::UnexpectedType(message_type))?;
     let Some(length) = decode_length(rest, max_length)? else { return Ok(None) };
     let Some(body) = rest.get(LENGTH_BYTES..length) else { return Ok(None) };
-    Ok(Some((FieldReader::new(message_type, body), 1 + length)))
+    Ok(Some((FieldReader::new(message_type, body), TYPE_BYTES + length)))
 }
 
 /// Appends a message: its type, its length, and the body that `append_body` appends.
--- a/crates/router/src/pool/connection.rs
+++ b/crates/router/src/pool/connection.rs
@@ -15,7 +15,8 @@
 use super::validation::Validation;
 use crate::budget::{Reservation, ReservationRejected, SharedBudget};
 use crate::descriptors::DescriptorPermit;
-use crate::pg::{self, BackendMessage, ProtocolViolation};
+use crate::message_buffer::MessageBuffer;
+use crate::pg::{self, BackendMessage, Framing, ProtocolViolation};
 use crate::socket;
 
 /// The size of one read.
@@ -49,7 +50,7 @@
 /// A connection to a node, with the bytes that have been read and not yet decoded.
 pub(super) struct NodeConnection {
     pub(super) stream: Async<TcpStream>,
-    pub(super) undecoded: Vec<u8>,
+    pub(super) undecoded: MessageBuffer,
     memory: Reservation,
     pub(super) validation: Validation,
     /// Whether the first byte of the current query has been written.
@@ -79,7 +80,7 @@
         stream.get_ref().set_nodelay(true)?;
         let mut connection = Self {
             stream,
-            undecoded: Vec::new(),
+            undecoded: MessageBuffer::default(),
             memory: budget.empty_reservation(Category::Responses),
             validation: Validation::Done,
             write_begun: false,
@@ -155,13 +156,7 @@
     /// The connection is broken, the bytes are not a valid message, or there is no memory for them.
     pub(super) async fn next_message(&mut self) -> Result<BackendMessage, ConnectionError> {
         loop {
-            if let Some((message, length)) = pg::decode_backend_message(&self.undecoded)? {
-                self.undecoded.drain(..length);
-                if self.undecoded.is_empty() {
-                    // Frees the memory that a long value needed.
-                    self.undecoded.shrink_to(READ_CHUNK_BYTES);
-                    self.reserve_memory()?;
-                }
+            if let Some(message) = self.decode_next()? {
                 return Ok(message);
             }
             if self.fully_written && self.bytes_read == 0 {
@@ -177,6 +172,16 @@
         }
     }
 
+    /// Decodes the next message, or returns `None` if it is not complete yet.
+    ///
+    /// # Errors
+    /// The bytes are not a valid message, or there is no memory for them.
+    pub(super) fn decode_next(&mut self) -> Result<Option<BackendMessage>, ConnectionError> {
+        let decoded = self.undecoded.decode_next(Framing::Typed, pg::decode_backend_message)?;
+        self.reserve_memory()?;
+        Ok(decoded.map(|(message, _)| message))
+    }
+
     /// Waits for the next bytes of a response and reads them into `undecoded`.
     async fn receive(&mut self) -> Result<(), ConnectionError> {
         while !self.receive_available()? {
@@ -201,7 +206,7 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(false),
             Err(error) => return Err(error.into()),
         };
-        self.undecoded.extend(&chunk[..count]);
+        self.undecoded.append(&chunk[..count]);
         self.bytes_read += count;
         self.reserve_memory()?;
         Ok(true)
--- a/crates/router/src/pool/validation.rs
+++ b/crates/router/src/pool/validation.rs
@@ -17,7 +17,7 @@
 use super::ConnectionPool;
 use super::connection::{ConnectionError, NodeConnection};
 use crate::log_rate_limiter::LogRateLimiter;
-use crate::pg::{BackendMessage, ProtocolViolation, decode_backend_message};
+use crate::pg::{BackendMessage, ProtocolViolation};
 use crate::socket;
 
 /// A simple query without a statement, as [`crate::pg::query_message`] encodes it.
@@ -68,11 +68,8 @@
     /// The connection is closed or broken, or the node has sent anything but that response.
     pub(super) fn try_validate(&mut self) -> Result<bool, ConnectionError> {
         while self.validation != Validation::Done {
-            match decode_backend_message(&self.undecoded)? {
-                Some((message, length)) => {
-                    self.undecoded.drain(..length);
-                    self.validation = self.validation.after(message)?;
-                }
+            match self.decode_next()? {
+                Some(message) => self.validation = self.validation.after(message)?,
                 None if self.bytes_read > MAX_VALIDATION_BYTES => {
                     return Err(ProtocolViolation::UnexpectedOrder.into());
                 }
--- a/crates/router/src/receive_buffer.rs
+++ b/crates/router/src/receive_buffer.rs
@@ -11,7 +11,8 @@
 use async_io::Async;
 
 use crate::budget::{Reservation, ReservationRejected};
-use crate::pg::ProtocolViolation;
+use crate::message_buffer::MessageBuffer;
+use crate::pg::{Decoded, Framing, ProtocolViolation};
 use crate::socket;
 use crate::socket_liveness::unread_bytes;
 
@@ -23,7 +24,7 @@
 
 /// The receive buffer of one client connection.
 pub struct ReceiveBuffer {
-    undecoded: Vec<u8>,
+    undecoded: MessageBuffer,
     memory: Reservation,
     /// The number of bytes decoded since the connection was opened.
     decoded_bytes: u64,
@@ -66,7 +67,7 @@
     /// Creates an empty buffer that accounts for its memory with `memory`.
     pub fn new(memory: Reservation) -> Self {
         Self {
-            undecoded: Vec::new(),
+            undecoded: MessageBuffer::default(),
             memory,
             decoded_bytes: 0,
             read_bytes: 0,
@@ -91,20 +92,17 @@
     /// The decoder's error.
     pub fn decode_next<T>(
         &mut self,
-        decode: impl Fn(&[u8]) -> Result<Option<(T, usize)>, ProtocolViolation>,
+        framing: Framing,
+        decode: impl Fn(&[u8]) -> Decoded<T>,
     ) -> Result<Option<ReceivedMessage<T>>, ProtocolViolation> {
-        let Some((message, length)) = decode(&self.undecoded)? else { return Ok(None) };
-        self.undecoded.drain(..length);
+        let Some((message, length)) = self.undecoded.decode_next(framing, decode)? else { return Ok(None) };
         self.decoded_bytes += length as u64;
         self.is_full = false;
         let decoded = self.arrivals.partition_point(|arrival| arrival.total_bytes < self.decoded_bytes);
         self.arrivals.drain(..decoded);
         let arrived = self.arrivals.front().map_or_else(Instant::now, |arrival| arrival.at);
-        if self.undecoded.is_empty() {
-            // Frees the memory that a long message needed.
-            self.undecoded.shrink_to(READ_CHUNK_BYTES);
-            _ = self.memory.resize(bytes_to_reserve(&self.undecoded));
-        }
+        // Shrinking cannot fail. Joining the pieces of a message may have allocated some bytes more.
+        _ = self.memory.resize(bytes_to_reserve(self.undecoded.capacity()));
         Ok(Some(ReceivedMessage { message, arrived }))
     }
 
@@ -137,12 +135,10 @@
         if bytes.is_empty() {
             return Err(ReceiveError::Closed);
         }
-        // Grows by what has arrived and no more, since many clients may send long messages at the same time.
-        self.undecoded.reserve_exact(bytes.len());
-        self.undecoded.extend(bytes);
+        self.undecoded.append(bytes);
         self.read_bytes += bytes.len() as u64;
         self.record_arrival(self.read_bytes);
-        let reserved = self.memory.resize(bytes_to_reserve(&self.undecoded));
+        let reserved = self.memory.resize(bytes_to_reserve(self.undecoded.capacity()));
         self.is_full = reserved.is_err();
         Ok(reserved?)
     }
@@ -165,13 +161,13 @@
 
     /// Discards all bytes and frees the buffer.
     pub fn clear(&mut self) {
-        self.undecoded = Vec::new();
+        self.undecoded.clear();
         _ = self.memory.resize(0);
     }
 }
 
 /// The bytes to reserve for a buffer: those beyond one chunk. One chunk for each session is bounded by the
 /// descriptor limit.
-fn bytes_to_reserve(undecoded: &Vec<u8>) -> usize {
-    undecoded.capacity().saturating_sub(READ_CHUNK_BYTES)
+fn bytes_to_reserve(capacity: usize) -> usize {
+    capacity.saturating_sub(READ_CHUNK_BYTES)
 }
--- a/crates/router/tests/input_cost.rs
+++ b/crates/router/tests/input_cost.rs
@@ -2,8 +2,14 @@
 //! processor time of this thread for inputs whose sizes double, so that neither other processes nor waits
 //! count.
 
+use std::io::Write as _;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use quillpoint_memory_budget::Category;
+use quillpoint_router::budget::SharedBudget;
+use quillpoint_router::pg::{self, Framing};
+use quillpoint_router::receive_buffer::ReceiveBuffer;
 use quillpoint_router::statement::Statement;
 use rustix::time::{ClockId, clock_gettime};
 
@@ -118,3 +124,92 @@
 fn parse(text: &[u8]) -> Result<Statement, String> {
     Statement::parse(text.to_vec()).map_err(|error| error.to_string())
 }
+
+/// A receive buffer with the sending side of its connection.
+struct Receiver {
+    buffer: ReceiveBuffer,
+    sender: TcpStream,
+    receiver: TcpStream,
+}
+
+impl Receiver {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let sender = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        sender.set_nodelay(true).unwrap();
+        let receiver = listener.accept().unwrap().0;
+        let budget = SharedBudget::new(192 << 20);
+        let buffer = ReceiveBuffer::new(budget.empty_reservation(Category::IncomingMessages));
+        Self { buffer, sender, receiver }
+    }
+
+    /// Sends and receives bytes in pieces, and decodes what each piece completes.
+    fn receive(&mut self, bytes: &[u8], piece_bytes: usize) -> usize {
+        let mut decoded = 0;
+        for piece in bytes.chunks(piece_bytes) {
+            self.receive_undecoded(piece);
+            decoded += self.decode_all();
+        }
+        decoded
+    }
+
+    fn receive_undecoded(&mut self, piece: &[u8]) {
+        self.sender.write_all(piece).unwrap();
+        let mut missing = piece.len();
+        while missing > 0 {
+            missing -= self.buffer.receive_arrived(&self.receiver, missing).unwrap();
+        }
+    }
+
+    fn decode_all(&mut self) -> usize {
+        let mut decoded = 0;
+        while self.buffer.decode_next(Framing::Typed, pg::decode_frontend_message).unwrap().is_some() {
+            decoded += 1;
+        }
+        decoded
+    }
+}
+
+/// Guards against work for each short message on all bytes behind it, and for each piece of a long message on
+/// all bytes before it.
+#[test]
+fn decoding_client_messages_is_linear_in_their_bytes() {
+    const SMALLEST: usize = 16 * 1024;
+    const SYNC: &[u8] = b"S\0\0\0\x04";
+    let one_message = |size: usize| pg::query_message(&vec![b' '; size]);
+    let short_messages = |size: usize| SYNC.repeat(size / SYNC.len());
+    for piece_bytes in [7, 4096] {
+        assert_linear(&format!("a message in pieces of {piece_bytes}"), SMALLEST, one_message, |bytes| {
+            assert_eq!(Receiver::new().receive(bytes, piece_bytes), 1);
+        });
+        assert_linear(
+            &format!("short messages in pieces of {piece_bytes}"),
+            SMALLEST,
+            short_messages,
+            |bytes| {
+                assert_eq!(Receiver::new().receive(bytes, piece_bytes), bytes.len() / SYNC.len());
+            },
+        );
+    }
+    assert_linear("short messages behind each other", SMALLEST, short_messages, |bytes| {
+        let mut receiver = Receiver::new();
+        receiver.receive_undecoded(bytes);
+        assert_eq!(receiver.decode_all(), bytes.len() / SYNC.len());
+    });
+}
+
+/// Guards against work on a node's error text that grows faster than the text.
+#[test]
+fn decoding_an_error_is_linear_in_its_length() {
+    const SMALLEST: usize = 1000;
+    for field in ["M\0", "Mtext\0", "D\u{fffd}\0", "x\0"] {
+        let error = |size: usize| {
+            let fields = format!("C58000\0{}\0", field.repeat(size / field.len()));
+            let length = (fields.len() + 4) as u32;
+            [b"E", &length.to_be_bytes()[..], fields.as_bytes()].concat()
+        };
+        assert_linear(&format!("an error's fields {field:?}"), SMALLEST, error, |bytes| {
+            (0..50).for_each(|_| _ = std::hint::black_box(pg::decode_backend_message(bytes).unwrap()));
+        });
+    }
+}
