Discovery: a response is decoded while it arrives, not anew with each piece

Cause: with each piece the whole response was parsed again from its start: 9.7 s of processor time for a chunked body of 128 KiB that arrives byte by byte, and a body may have 4 MiB.

Change: a decoder with a state for the head, a sized body, a chunked one and one up to the end of the stream. The tests of the old function check the decoder, in one piece and byte by byte.

--- a/crates/router/src/endpoint_poll.rs
+++ b/crates/router/src/endpoint_poll.rs
@@ -9,7 +9,7 @@
 use quillpoint_discovery_watch::PollPhase;
 
 use crate::endpoint_list::EndpointList;
-use crate::http::{self, InvalidResponse, StreamState};
+use crate::http::{Body, InvalidResponse, ResponseDecoder, StreamState};
 use crate::socket;
 
 /// Maximum number of bytes per read from the socket.
@@ -96,19 +96,19 @@
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         phase_reached(PollPhase::Headers);
         socket::write_all(&connection, request.as_bytes()).await?;
-        let mut bytes = Vec::new();
-        read_head(&connection, &mut bytes).await?;
+        let mut decoder = ResponseDecoder::default();
+        read_head(&connection, &mut decoder).await?;
         phase_reached(PollPhase::Body);
-        let body = read_body(&connection, &mut bytes).await?;
-        let list = serde_json::from_slice(&body.bytes)?;
+        let body = read_body(&connection, &mut decoder).await?;
+        let list = EndpointList::from_text(&body.bytes).await?;
         Ok(PollResponse { list, connection: body.keeps_connection.then_some(connection) })
     }
 }
 
-async fn read_head(connection: &Connection, bytes: &mut Vec<u8>) -> Result<(), PollError> {
-    while !http::is_head_complete(bytes) {
-        if read(connection, bytes).await? == StreamState::Ended {
-            return Err(match bytes.len() {
+async fn read_head(connection: &Connection, decoder: &mut ResponseDecoder) -> Result<(), PollError> {
+    while !decoder.has_head() {
+        if read(connection, decoder).await? == StreamState::Ended {
+            return Err(match decoder.received_bytes() {
                 0 => PollError::ConnectionClosed,
                 found => InvalidResponse::Truncated { found }.into(),
             });
@@ -117,24 +117,24 @@
     Ok(())
 }
 
-async fn read_body(connection: &Connection, bytes: &mut Vec<u8>) -> Result<http::Body, PollError> {
+async fn read_body(connection: &Connection, decoder: &mut ResponseDecoder) -> Result<Body, PollError> {
     let mut stream = StreamState::Open;
     loop {
-        if let Some(body) = http::parse_body(bytes, stream)? {
+        if let Some(body) = decoder.take_body(stream) {
             return Ok(body);
         }
         if stream == StreamState::Ended {
-            return Err(InvalidResponse::Truncated { found: bytes.len() }.into());
+            return Err(InvalidResponse::Truncated { found: decoder.received_bytes() }.into());
         }
-        stream = read(connection, bytes).await?;
+        stream = read(connection, decoder).await?;
     }
 }
 
 /// Reads more bytes, then yields: a peer that never stops sending must not keep other tasks from running.
-async fn read(connection: &Connection, bytes: &mut Vec<u8>) -> Result<StreamState, PollError> {
+async fn read(connection: &Connection, decoder: &mut ResponseDecoder) -> Result<StreamState, PollError> {
     let mut buffer = [0; READ_BYTES];
     let count = socket::read(connection, &mut buffer).await?;
-    bytes.extend(&buffer[..count]);
+    decoder.push(&buffer[..count])?;
     future::yield_now().await;
     Ok(if count == 0 { StreamState::Ended } else { StreamState::Open })
 }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,6 +1,11 @@
-//! Parses an HTTP/1.1 response from the bytes received so far.
+//! Decodes an HTTP/1.1 response while it arrives. Each byte is looked at a fixed number of times, however
+//! small the pieces in which the response arrives.
 
-/// Maximum body size, far larger than the endpoint list of any deployment.
+mod chunked;
+
+use chunked::ChunkedBody;
+
+/// Maximum body size, with the framing of its chunks; far larger than the endpoint list of any deployment.
 const MAX_BODY_BYTES: usize = 4 << 20;
 const MAX_HEAD_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
@@ -38,6 +43,12 @@
     /// The response announces a chunked body, but a chunk does not begin with its size.
     #[error("expected a chunk size in hexadecimal digits")]
     ChunkSize,
+    /// A line between chunks or behind them is too long.
+    #[error("expected a line of at most {max} bytes between chunks")]
+    ChunkLineTooLong {
+        /// The longest line that is accepted.
+        max: usize,
+    },
     /// The stream ended before the response was complete.
     #[error("expected a complete response, found {found} bytes of one")]
     Truncated {
@@ -64,46 +75,150 @@
     pub keeps_connection: bool,
 }
 
-/// Whether to stop waiting for more bytes of the head: it is complete, invalid or too long.
-pub fn is_head_complete(bytes: &[u8]) -> bool {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let status = httparse::Response::new(&mut headers).parse(bytes);
-    bytes.len() > MAX_HEAD_BYTES || !matches!(status, Ok(httparse::Status::Partial))
+/// Decodes one response.
+#[derive(Default)]
+pub struct ResponseDecoder {
+    /// The bytes of the head; empty once it has been parsed.
+    head: Vec<u8>,
+    /// The head is not parsed before it has this many bytes, unless an empty line ends it.
+    next_parse_bytes: usize,
+    body: Option<BodyDecoder>,
+    received_bytes: usize,
+}
+
+impl ResponseDecoder {
+    /// The number of bytes received.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes
+    }
+
+    /// Whether the head is complete.
+    pub fn has_head(&self) -> bool {
+        self.body.is_some()
+    }
+
+    /// Decodes the next bytes.
+    ///
+    /// # Errors
+    /// The response is invalid, too long, or has another status than 200.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), InvalidResponse> {
+        self.received_bytes += bytes.len();
+        if let Some(body) = &mut self.body {
+            return body.push(bytes);
+        }
+        // Line ends in front of a response are ignored.
+        let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+        let ignored = if self.head.is_empty() { bytes.iter().take_while(is_line_end).count() } else { 0 };
+        let bytes = &bytes[ignored..];
+        let searched_from = self.head.len().saturating_sub(EMPTY_LINE_BYTES);
+        self.head.extend(bytes);
+        if self.head.len() >= self.next_parse_bytes || has_empty_line(&self.head[searched_from..]) {
+            self.parse_head()?;
+        }
+        Ok(())
+    }
+
+    /// Parses the head if it is complete. An invalid one is found before its end: each time that its length
+    /// has doubled.
+    fn parse_head(&mut self) -> Result<(), InvalidResponse> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let body_start = match head.parse(&self.head)? {
+            httparse::Status::Complete(body_start) => body_start,
+            httparse::Status::Partial if self.head.len() > MAX_HEAD_BYTES => {
+                return Err(InvalidResponse::HeadTooLong { found: self.head.len() });
+            }
+            httparse::Status::Partial => {
+                self.next_parse_bytes = (2 * self.head.len()).min(MAX_HEAD_BYTES + 1);
+                return Ok(());
+            }
+        };
+        let mut body = BodyDecoder::new(&head)?;
+        body.push(&self.head[body_start..])?;
+        self.body = Some(body);
+        self.head = Vec::new();
+        Ok(())
+    }
+
+    /// Takes the body if it is complete.
+    pub fn take_body(&mut self, stream: StreamState) -> Option<Body> {
+        let is_complete = |body: &mut BodyDecoder| body.is_complete(stream);
+        self.body.take_if(is_complete).map(BodyDecoder::into_body)
+    }
+}
+
+/// The length of two line ends.
+const EMPTY_LINE_BYTES: usize = 4;
+
+fn has_empty_line(bytes: &[u8]) -> bool {
+    bytes.windows(2).any(|two| two == b"\n\n") || bytes.windows(3).any(|three| three == b"\n\r\n")
+}
+
+/// How the end of a body is found.
+enum BodyLength {
+    /// By the Content-Length header.
+    Known(usize),
+    Chunked(ChunkedBody),
+    /// The body extends to the end of the stream.
+    UntilEnd,
+}
+
+/// Decodes the body of a response with status 200.
+struct BodyDecoder {
+    length: BodyLength,
+    keeps_connection: bool,
+    received_bytes: usize,
+    content: Vec<u8>,
 }
 
-/// Returns the body of a response with status 200, or `None` if it is not complete yet.
-///
-/// # Errors
-/// The response is invalid, too long, or has another status.
-pub fn parse_body(bytes: &[u8], stream: StreamState) -> Result<Option<Body>, InvalidResponse> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Response::new(&mut headers);
-    let body_start = match head.parse(bytes)? {
-        httparse::Status::Complete(body_start) => body_start,
-        httparse::Status::Partial if bytes.len() > MAX_HEAD_BYTES => {
-            return Err(InvalidResponse::HeadTooLong { found: bytes.len() });
+impl BodyDecoder {
+    fn new(head: &httparse::Response<'_, '_>) -> Result<Self, InvalidResponse> {
+        if head.code != Some(200) {
+            return Err(InvalidResponse::Status { found: head.code.unwrap_or(0) });
         }
-        httparse::Status::Partial => return Ok(None),
-    };
-    if head.code != Some(200) {
-        return Err(InvalidResponse::Status { found: head.code.unwrap_or(0) });
+        let keeps_connection =
+            head.version == Some(1) && header(head, "connection").is_none_or(|value| value != "close");
+        let length = if header(head, "transfer-encoding").is_some_and(|value| value.ends_with("chunked")) {
+            BodyLength::Chunked(ChunkedBody::default())
+        } else if let Some(value) = header(head, "content-length") {
+            BodyLength::Known(content_length(value)?)
+        } else {
+            BodyLength::UntilEnd
+        };
+        Ok(Self { length, keeps_connection, received_bytes: 0, content: Vec::new() })
     }
-    let rest = &bytes[body_start..];
-    if rest.len() > MAX_BODY_BYTES {
-        return Err(InvalidResponse::BodyTooLong { found: rest.len() });
+
+    fn push(&mut self, bytes: &[u8]) -> Result<(), InvalidResponse> {
+        self.received_bytes += bytes.len();
+        if self.received_bytes > MAX_BODY_BYTES {
+            return Err(InvalidResponse::BodyTooLong { found: self.received_bytes });
+        }
+        match &mut self.length {
+            BodyLength::Chunked(chunks) => chunks.decode(bytes, &mut self.content)?,
+            BodyLength::Known(_) | BodyLength::UntilEnd => self.content.extend(bytes),
+        }
+        Ok(())
     }
-    let keeps_connection =
-        head.version == Some(1) && header(&head, "connection").is_none_or(|value| value != "close");
-    if header(&head, "transfer-encoding").is_some_and(|value| value.ends_with("chunked")) {
-        return Ok(join_chunks(rest)?.map(|bytes| Body { bytes, keeps_connection }));
+
+    fn is_complete(&self, stream: StreamState) -> bool {
+        match &self.length {
+            BodyLength::Known(length) => self.received_bytes >= *length,
+            BodyLength::Chunked(chunks) => chunks.is_complete(),
+            BodyLength::UntilEnd => stream == StreamState::Ended,
+        }
     }
-    if let Some(value) = header(&head, "content-length") {
-        let length = content_length(value)?;
-        let keeps_connection = keeps_connection && rest.len() == length;
-        return Ok(rest.get(..length).map(|body| Body { bytes: body.to_vec(), keeps_connection }));
+
+    fn into_body(mut self) -> Body {
+        let ends_with_response = match self.length {
+            BodyLength::Known(length) => {
+                self.content.truncate(length);
+                self.received_bytes == length
+            }
+            BodyLength::Chunked(_) => true,
+            BodyLength::UntilEnd => false,
+        };
+        Body { bytes: self.content, keeps_connection: self.keeps_connection && ends_with_response }
     }
-    // Without a length, the body extends to the end of the stream.
-    Ok((stream == StreamState::Ended).then(|| Body { bytes: rest.to_vec(), keeps_connection: false }))
 }
 
 /// Returns the value of a header in lower case, if the header is present.
@@ -119,27 +234,3 @@
         Err(_) => Err(InvalidResponse::ContentLength { found: value }),
     }
 }
-
-/// Decodes a chunked body. Returns `None` if it is not complete yet.
-fn join_chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, InvalidResponse> {
-    let mut body = Vec::new();
-    loop {
-        let (start, length) = match httparse::parse_chunk_size(rest) {
-            Ok(httparse::Status::Complete((start, length))) => (start, length as usize),
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(InvalidResponse::ChunkSize),
-        };
-        if length > MAX_BODY_BYTES {
-            return Err(InvalidResponse::BodyTooLong { found: length });
-        }
-        rest = &rest[start..];
-        if length == 0 {
-            // Trailers are skipped; they end with an empty line.
-            let is_complete = rest.starts_with(b"\r\n") || rest.windows(4).any(|four| four == b"\r\n\r\n");
-            return Ok(is_complete.then_some(body));
-        }
-        let Some(chunk) = rest.get(..length + 2) else { return Ok(None) };
-        body.extend(&chunk[..length]);
-        rest = &rest[length + 2..];
-    }
-}
--- a/crates/router/tests/input_cost.rs
+++ b/crates/router/tests/input_cost.rs
@@ -8,6 +8,7 @@
 
 use quillpoint_memory_budget::Category;
 use quillpoint_router::budget::SharedBudget;
+use quillpoint_router::http::{ResponseDecoder, StreamState};
 use quillpoint_router::pg::{self, Framing};
 use quillpoint_router::receive_buffer::ReceiveBuffer;
 use quillpoint_router::statement::Statement;
@@ -213,3 +214,49 @@
         });
     }
 }
+
+/// Reads a response in pieces of this size, as it arrives from discovery.
+fn read_response(bytes: &[u8], piece_bytes: usize) -> Vec<u8> {
+    let mut decoder = ResponseDecoder::default();
+    for piece in bytes.chunks(piece_bytes) {
+        decoder.push(piece).unwrap();
+        if let Some(body) = decoder.take_body(StreamState::Open) {
+            return body.bytes;
+        }
+    }
+    panic!("the response is incomplete")
+}
+
+/// Guards against decoding a response from discovery anew with each piece of it that arrives.
+#[test]
+fn decoding_a_response_from_discovery_is_linear_in_its_length() {
+    const SMALLEST: usize = 16 * 1024;
+    let head = "HTTP/1.1 200 OK\r\n";
+    let sized = |size: usize| format!("{head}Content-Length: {size}\r\n\r\n{}", " ".repeat(size));
+    let chunked = |size: usize| {
+        let chunks = "1\r\n \r\n".repeat(size / 6);
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+    };
+    let trailers = |size: usize| {
+        let trailers = "x: y\r\n".repeat(size / 6);
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n0\r\n{trailers}\r\n")
+    };
+    for piece_bytes in [1, 100, 4096] {
+        assert_linear(&format!("a sized body in pieces of {piece_bytes}"), SMALLEST, sized, |response| {
+            read_response(response.as_bytes(), piece_bytes)
+        });
+        assert_linear(&format!("a chunked body in pieces of {piece_bytes}"), SMALLEST, chunked, |response| {
+            read_response(response.as_bytes(), piece_bytes)
+        });
+        assert_linear(&format!("trailers in pieces of {piece_bytes}"), SMALLEST, trailers, |response| {
+            read_response(response.as_bytes(), piece_bytes)
+        });
+        let long_head = |size: usize| {
+            let headers = (0..60).map(|_| format!("x: {}\r\n", "y".repeat(size / 60))).collect::<String>();
+            format!("{head}{headers}Content-Length: 0\r\n\r\n")
+        };
+        assert_linear(&format!("a head in pieces of {piece_bytes}"), 1900, long_head, |response| {
+            read_response(response.as_bytes(), piece_bytes)
+        });
+    }
+}
--- a/crates/router/tests/messages.rs
+++ b/crates/router/tests/messages.rs
@@ -8,7 +8,7 @@
 use quillpoint_router::budget::{Reservation, SharedBudget};
 use quillpoint_router::config::StartupOptions;
 use quillpoint_router::endpoint_list::{EndpointList, EndpointParser};
-use quillpoint_router::http::{self, StreamState};
+use quillpoint_router::http::{Body, InvalidResponse, ResponseDecoder, StreamState};
 use quillpoint_router::pg::{
     self, BackendMessage, Column, FrontendMessage, QueryResult, Response, ResponseReader, StartupPacket,
 };
@@ -29,6 +29,20 @@
     decode(bytes).unwrap().filter(|(_, taken)| !early && *taken == bytes.len()).map(|(decoded, _)| decoded)
 }
 
+/// Decodes a response that has arrived in one piece. Returns its body, or `None` if it is not complete.
+fn decode_response(bytes: &[u8], stream: StreamState) -> Result<Option<Body>, InvalidResponse> {
+    let mut decoder = ResponseDecoder::default();
+    decoder.push(bytes)?;
+    Ok(decoder.take_body(stream))
+}
+
+/// The same for a response that has arrived byte by byte.
+fn decode_response_bytewise(bytes: &[u8], stream: StreamState) -> Result<Option<Body>, InvalidResponse> {
+    let mut decoder = ResponseDecoder::default();
+    bytes.iter().try_for_each(|byte| decoder.push(&[*byte]))?;
+    Ok(decoder.take_body(stream))
+}
+
 fn without_zero(bytes: &[u8]) -> Vec<u8> {
     bytes.iter().copied().filter(|byte| *byte != 0).collect()
 }
@@ -204,10 +218,11 @@
                 let text = [b"/* id=1,", bytes, b"*/ SELECT"].concat();
                 _ = (Statement::parse(bytes.to_vec()), Statement::parse(text));
                 let response = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", bytes].concat();
-                _ = (
-                    http::parse_body(bytes, StreamState::Ended),
-                    http::parse_body(&response, StreamState::Ended),
-                );
+                for response in [bytes, &response] {
+                    let whole = decode_response(response, StreamState::Ended);
+                    let bytewise = decode_response_bytewise(response, StreamState::Ended);
+                    assert_eq!(whole.ok(), bytewise.ok());
+                }
             }
         }) as fn(CorruptedMessage, Vec<u8>),
     );
@@ -327,14 +342,15 @@
             [chunked, sized].iter().all(|bytes| {
                 let open = StreamState::Open;
                 let no_prefix_parses =
-                    (0..bytes.len()).all(|cut| http::parse_body(&bytes[..cut], open).unwrap().is_none());
+                    (0..bytes.len()).all(|cut| decode_response(&bytes[..cut], open).unwrap().is_none());
+                let whole = Some(Body { bytes: body.to_vec(), keeps_connection: true });
                 no_prefix_parses
-                    && http::parse_body(bytes, open).unwrap()
-                        == Some(http::Body { bytes: body.to_vec(), keeps_connection: true })
+                    && decode_response(bytes, open).unwrap() == whole
+                    && decode_response_bytewise(bytes, open).unwrap() == whole
             })
         }) as fn(Vec<u8>) -> bool,
     );
-    assert!(http::parse_body(b"HTTP/1.1 503 Busy\r\n\r\n", StreamState::Open).is_err());
+    assert!(decode_response(b"HTTP/1.1 503 Busy\r\n\r\n", StreamState::Open).is_err());
 }
 
 const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"5",
