--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -263,8 +263,8 @@
     fn apply_list(&mut self, list: &EndpointList) -> Result<(EndpointUpdate, Vec<Endpoint>), PollError> {
         let endpoints = self.parser.apply(list);
         // A list in an unknown format must not be taken for an empty one.
-        if endpoints.is_empty() && !list.entries.is_empty() {
-            return Err(PollError::NoReadableEntry { entries: list.entries.len() });
+        if list.entries.is_empty() && list.unreadable_entries > 0 {
+            return Err(PollError::NoReadableEntry { entries: list.unreadable_entries });
         }
         self.versions.record_applied(list.version);
         // Responses to polls made to previous addresses of discovery are obsolete now.
--- a/crates/router/tests/input_cost.rs
+++ b/crates/router/tests/input_cost.rs
@@ -2,12 +2,19 @@
 //! processor time of this thread for inputs whose sizes double, so that neither other processes nor waits
 //! count.
 
+use std::fmt::Write as _;
 use std::io::Write as _;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use futures_lite::future;
+use quillpoint::host::EndpointUpdate;
 use quillpoint_memory_budget::Category;
 use quillpoint_router::budget::SharedBudget;
+use quillpoint_router::config::StartupOptions;
+use quillpoint_router::deployment::Deployment;
+use quillpoint_router::endpoint_list::{EndpointList, EndpointParser};
+use quillpoint_router::engine::Engine;
 use quillpoint_router::http::{ResponseDecoder, StreamState};
 use quillpoint_router::pg::{self, Framing};
 use quillpoint_router::receive_buffer::ReceiveBuffer;
@@ -260,3 +267,47 @@
         });
     }
 }
+
+const SETTINGS: &str = r#"{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"5",
+"limits":{"sockets":64},"settings":{"Allowed":{"ConnIdleMs":30000.0,"ConnectTimeoutMs":250.0},
+"Classes":[{"Name":"a","GiveUpMs":600.0,"GoalTimeMs":150.0}],"FailureDomains":["x","y"],"Skus":["m","n"]}}"#;
+
+fn deployment() -> Deployment {
+    StartupOptions::from_json(&serde_json::from_str(SETTINGS).unwrap(), |_| None).unwrap().deployment
+}
+
+/// The JSON of a whole list of nodes, at addresses that begin with this number.
+fn list_text(nodes: usize, first_octet: u8) -> String {
+    let mut text = r#"{"rev":1,"all":true,"targets":["#.to_string();
+    for node in 0..nodes {
+        let separator = if node == 0 { "" } else { "," };
+        let address = format!("{first_octet}.0.{}.{}:5432", node / 256, node % 256);
+        write!(
+            text,
+            r#"{separator}{{"uid":"s-{first_octet}-{node}","endpoint":"{address}","az":"x","model":"m",
+            "pod_group":{},"state":"in_service","capacity_hint":1.0,"boot_ms":0}}"#,
+            node / 3
+        )
+        .unwrap();
+    }
+    text + "]}"
+}
+
+/// Guards against comparing each known node with each entry of a list.
+#[test]
+fn applying_an_endpoint_list_is_linear_in_its_entries() {
+    const SMALLEST: usize = 1000;
+    let deployment = deployment();
+    let parse = |text: &String| future::block_on(EndpointList::from_text(text.as_bytes())).unwrap();
+    assert_linear("parsing a list", SMALLEST, |nodes| list_text(nodes, 10), parse);
+    for (name, second_octet) in [("the same", 10), ("a replaced", 11)] {
+        let lists = |nodes| [10, second_octet].map(|octet| parse(&list_text(nodes, octet)));
+        assert_linear(&format!("applying {name} list"), SMALLEST, lists, |lists| {
+            let (engine, _outputs) = Engine::new(5, &deployment);
+            let mut parser = EndpointParser::new(&deployment);
+            for list in lists {
+                engine.endpoints_changed(EndpointUpdate::Snapshot, &parser.apply(list));
+            }
+        });
+    }
+}
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -1,11 +1,12 @@
 //! The endpoint list: which nodes are added, drain or are removed, and how often the list is polled.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::RngExt;
 
 use crate::health_checks::MAX_FAILURES;
-use crate::host::{Endpoint, EndpointStatus, EndpointUpdate, Host};
+use crate::host::{Endpoint, EndpointStatus, EndpointUpdate, Host, NodeId};
 use crate::node_state::NodeState;
 use crate::replica_set::ReplicaSet;
 use crate::router::Router;
@@ -78,8 +79,9 @@
     /// A snapshot is the whole list, so a node that is missing from it is removed. If `only_listed_draining`
     /// is set, a removed node may still be sent requests.
     fn remove_unlisted(&mut self, list: &[Endpoint]) {
+        let listed: BTreeSet<NodeId> = list.iter().map(|endpoint| endpoint.node).collect();
         for (node, state) in &mut self.nodes {
-            state.removed = !list.iter().any(|endpoint| endpoint.node == *node);
+            state.removed = !listed.contains(node);
             state.draining |= state.removed && !self.config.only_listed_draining;
         }
     }
@@ -113,8 +115,9 @@
             let is_dead = node.draining || node.health_check.failed_in_row == MAX_FAILURES;
             node.removed && is_dead && node.in_flight.is_empty() && !node.health_check.in_flight
         };
-        while let Some((node, state)) = self.nodes.iter().find(|(_, state)| can_be_forgotten(state)) {
-            let (node, replica_set) = (*node, state.replica_set);
+        let forgotten = self.nodes.iter().filter(|(_, state)| can_be_forgotten(state));
+        let forgotten: Vec<_> = forgotten.map(|(node, state)| (*node, state.replica_set)).collect();
+        for (node, replica_set) in forgotten {
             self.nodes.remove(&node);
             self.clear_primary(now, replica_set, node);
             self.replica_sets.entry(replica_set).or_default().nodes.remove(&node);
