Memory: sessions, RPCs, attempts, connections and answers are charged, and held smaller

Cause: what these hold beside their buffers was in no category of the budget, and each held more than it needed: 2.4 kB a statement in line, 3.2 kB more from its first command on (a general channel makes room for 31), 8.7 kB an idle session.

Change: a small queue in place of the channel of each RPC, a signal in place of two channels of each session, reads without a chunk in the waiting future, ids held once, dials spawned outside of the attempt's future. Quotas for queued, connections.clients and connections.nodes; all of it is charged before it is made, answers wholly and from the node to the client. Memory limits the sockets.

Failed try: answers were first charged by their bytes alone; growth was 1 to 12% above the charge. Buffers that doubled while an answer was encoded left holes; they get their size at once now, and 1/32 is charged for fragmentation.

--- a/crates/router/src/active_request_ids.rs
+++ b/crates/router/src/active_request_ids.rs
@@ -7,19 +7,19 @@
 
 /// The set of ids in use.
 #[derive(Debug, Default)]
-pub struct ActiveRequestIds(RefCell<BTreeSet<String>>);
+pub struct ActiveRequestIds(RefCell<BTreeSet<Rc<str>>>);
 
 /// An id in use, as long as its RPC or one of its attempts is in progress. Released on drop.
 #[derive(Debug)]
 pub struct ActiveRequestId {
     ids: Rc<ActiveRequestIds>,
-    id: String,
+    id: Rc<str>,
 }
 
 impl ActiveRequestIds {
     /// Registers an id. Returns `None` if another RPC uses it.
-    pub fn register(self: &Rc<Self>, id: String) -> Option<ActiveRequestId> {
-        let is_new = self.0.borrow_mut().insert(id.clone());
+    pub fn register(self: &Rc<Self>, id: Rc<str>) -> Option<ActiveRequestId> {
+        let is_new = self.0.borrow_mut().insert(Rc::clone(&id));
         is_new.then(|| ActiveRequestId { ids: Rc::clone(self), id })
     }
 }
--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -1,5 +1,5 @@
-//! The router's memory budget. It accounts for the buffers whose sizes clients and nodes determine: each
-//! owner of a buffer holds a reservation for its bytes.
+//! The router's memory budget. It accounts for all that clients and nodes make the router hold: buffers, and
+//! the state of connections, RPCs and attempts. Each owner holds a reservation for its bytes.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -15,6 +15,29 @@
 /// starve the other.
 const GUARANTEED_DIVISOR: u64 = 16;
 
+/// Pending RPCs and their attempts may use up to 1/8 of the memory, beside the texts of their statements.
+const PENDING_RPCS_DIVISOR: u64 = 8;
+/// While pending RPCs use more than 1/4 of their quota, each client's statements are taken one at a time. So
+/// clients that send many at once leave room for those that do not.
+const PIPELINED_RPCS_DIVISOR: u64 = 4;
+/// The state of client connections may use up to 1/8 of the memory, that of connections to nodes up to 1/16.
+const CLIENT_CONNECTIONS_DIVISOR: u64 = 8;
+const NODE_CONNECTIONS_DIVISOR: u64 = 16;
+
+/// What a client session holds beside its buffers: its task, its registrations, and the response that it is
+/// writing. This and the sizes below include what the allocator adds.
+pub const SESSION_BYTES: usize = 4096;
+/// What a connection to a node holds beside its buffer: its state, its registrations, and the task that opens
+/// it.
+pub const NODE_CONNECTION_BYTES: usize = 2048;
+/// What an RPC holds from its arrival to its response, beside its statement: its entries in the pipeline, the
+/// engine and the decisions.
+pub const RPC_BYTES: usize = 1536;
+/// What an attempt holds: its task, and its wait for a connection.
+pub const ATTEMPT_BYTES: usize = 4096;
+/// What a response that waits to be written holds beside its bytes.
+pub const RESPONSE_BYTES: usize = 128;
+
 /// A reservation that would exceed the budget. The message is sent to clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("this router holds all the bytes that it may ({0})")]
@@ -30,14 +53,24 @@
         let incoming = memory_bytes / INCOMING_DIVISOR;
         let in_flight = memory_bytes / IN_FLIGHT_DIVISOR;
         let guaranteed = in_flight / GUARANTEED_DIVISOR;
+        let pending_rpcs = memory_bytes / PENDING_RPCS_DIVISOR;
+        let client_connections = memory_bytes / CLIENT_CONNECTIONS_DIVISOR;
+        let node_connections = memory_bytes / NODE_CONNECTIONS_DIVISOR;
         let quotas = [
+            (Category::PendingRpcs, Quota { guaranteed: pending_rpcs, limit: pending_rpcs }),
+            (
+                Category::ClientConnections,
+                Quota { guaranteed: client_connections, limit: client_connections },
+            ),
+            (Category::NodeConnections, Quota { guaranteed: node_connections, limit: node_connections }),
             (Category::IncomingMessages, Quota { guaranteed: incoming, limit: incoming }),
             (Category::Statements, Quota { guaranteed, limit: in_flight }),
             (Category::Responses, Quota { guaranteed, limit: in_flight }),
             (Category::ResponseWrites, Quota { guaranteed: 0, limit: in_flight }),
         ];
-        let budget = MemoryBudget::new(incoming + in_flight, &quotas)
-            .expect("the quotas are fractions of the total and fit into it");
+        let total = incoming + in_flight + pending_rpcs + client_connections + node_connections;
+        let budget =
+            MemoryBudget::new(total, &quotas).expect("the quotas are fractions of the total and fit into it");
         Self(Rc::new(RefCell::new(budget)))
     }
 
@@ -62,6 +95,22 @@
         Reservation { budget: self.clone(), category, bytes }
     }
 
+    /// The number of sockets whose state fits into the quotas of the connections.
+    pub fn max_sockets(&self) -> usize {
+        let quota = |category| self.read(|budget| budget.quota(category).limit);
+        let quotas = quota(Category::ClientConnections) + quota(Category::NodeConnections);
+        usize::try_from(quotas / SESSION_BYTES as u64).unwrap_or(usize::MAX)
+    }
+
+    /// Whether pending RPCs leave so little of their quota that each client's statements have to be taken one
+    /// at a time.
+    pub fn limits_pipelining(&self) -> bool {
+        self.read(|budget| {
+            let quota = budget.quota(Category::PendingRpcs).limit;
+            budget.used(Category::PendingRpcs) > quota / PIPELINED_RPCS_DIVISOR
+        })
+    }
+
     /// Calls `read` with the current state of the budget.
     pub fn read<T>(&self, read: impl FnOnce(&MemoryBudget) -> T) -> T {
         read(&self.0.borrow())
@@ -92,6 +141,17 @@
     }
 }
 
+impl Reservation {
+    /// Changes the number of reserved bytes even if that exceeds the budget, for memory that is bounded by
+    /// other limits or that is needed to end work which has begun.
+    pub fn recharge(&mut self, bytes: usize) {
+        if bytes != self.bytes {
+            self.budget.0.borrow_mut().charge(self.category, self.bytes as u64, bytes as u64);
+            self.bytes = bytes;
+        }
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         // Shrinking cannot fail.
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 
 use crate::active_request_ids::ActiveRequestIds;
@@ -29,6 +28,7 @@
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::pg::CancelKey;
 use crate::pool::ConnectionPool;
+use crate::signal::Signal;
 
 /// Upper bound for the time between the first and the last byte of a message.
 const MAX_MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -59,10 +59,10 @@
     message_timeout: Duration,
     longest_deadline: Duration,
     max_pending_rpcs: usize,
-    /// Open sessions by number; sending on the channel closes the session once it is idle.
-    open_sessions: RefCell<BTreeMap<u64, Sender<()>>>,
-    /// By a session's cancel key; sending on the channel cancels the session's oldest unanswered statement.
-    cancel_senders: RefCell<BTreeMap<CancelKey, Sender<()>>>,
+    /// Open sessions by number; the signal closes the session once it is idle.
+    open_sessions: RefCell<BTreeMap<u64, Signal>>,
+    /// By a session's cancel key; the signal cancels the session's oldest unanswered statement.
+    cancel_signals: RefCell<BTreeMap<CancelKey, Signal>>,
     next_session_number: Cell<u64>,
     draining: Cell<bool>,
     /// Whether sessions end once the statements that have arrived are answered, even if more follow.
@@ -85,7 +85,7 @@
             longest_deadline: deployment.longest_deadline,
             max_pending_rpcs: deployment.max_pending_rpcs,
             open_sessions: RefCell::default(),
-            cancel_senders: RefCell::default(),
+            cancel_signals: RefCell::default(),
             next_session_number: Cell::new(0),
             draining: Cell::new(false),
             stopping: Cell::new(false),
@@ -101,15 +101,15 @@
     /// Closes a session as soon as it is idle. Does nothing if the session is not open.
     pub fn close_when_idle(&self, session: u64) {
         if let Some(close) = self.open_sessions.borrow().get(&session) {
-            _ = close.try_send(());
+            close.set();
         }
     }
 
     /// Cancels the oldest unanswered statement of the session with this key. Does nothing if the key is
     /// unknown.
     fn cancel(&self, key: CancelKey) {
-        if let Some(cancel) = self.cancel_senders.borrow().get(&key) {
-            _ = cancel.try_send(());
+        if let Some(cancel) = self.cancel_signals.borrow().get(&key) {
+            cancel.set();
         }
     }
 
--- a/crates/router/src/client/intake.rs
+++ b/crates/router/src/client/intake.rs
@@ -10,6 +10,7 @@
 use super::response_writer::{TOO_MANY_RPCS, encode_no_capacity};
 use super::session::Session;
 use super::session_end::{Ending, Intake, SessionEnd, SessionResult};
+use crate::budget::{RPC_BYTES, Reservation};
 use crate::pg::{self, FrontendMessage};
 use crate::receive_buffer::ReceivedMessage;
 use crate::request_pipeline::RequestPipeline;
@@ -30,7 +31,7 @@
 /// The result of reading a query. The bytes are the response messages without ReadyForQuery.
 enum QueryIntake {
     /// A statement to run, with the resources reserved for it.
-    Statement { method: MethodId, statement: InFlightStatement },
+    Statement { method: MethodId, statement: Rc<InFlightStatement>, memory: Reservation },
     /// The query is answered immediately.
     Answered(Vec<u8>),
     /// The statement cannot be used; the bytes are an error response.
@@ -43,6 +44,12 @@
     QueryIntake::Unusable(out)
 }
 
+fn no_capacity() -> QueryIntake {
+    let mut out = Vec::new();
+    encode_no_capacity(&mut out, TOO_MANY_RPCS);
+    QueryIntake::Answered(out)
+}
+
 impl Session<'_> {
     /// Adds a message to the pipeline. Returns how the session ends if this message ends it.
     pub(super) fn handle_message(
@@ -85,9 +92,10 @@
             return Some(self.end_after_arrived(Ok(())));
         }
         match self.read_query(text) {
-            QueryIntake::Statement { method, statement } => {
+            QueryIntake::Statement { method, statement, memory } => {
                 self.consecutive_unusable_statements = 0;
-                self.push_statement(method, statement, arrived, pipeline);
+                let commits = Rc::clone(&self.commits);
+                self.push_request(RpcRequest { method, statement, arrived, commits, memory }, pipeline);
                 None
             }
             QueryIntake::Answered(out) => {
@@ -104,18 +112,12 @@
         }
     }
 
-    fn push_statement(
-        &mut self,
-        method: MethodId,
-        statement: InFlightStatement,
-        arrived: Instant,
-        pipeline: &mut RequestPipeline,
-    ) {
-        // Discards cancel requests that arrived while all statements were answered.
-        while !pipeline.has_unanswered_statement() && self.cancelled.try_recv().is_ok() {}
-        let scope = self.clients.engine.statement_scope(method, &statement.statement);
-        let commits = Rc::clone(&self.commits);
-        let request = RpcRequest { method, statement: Rc::new(statement), arrived, commits };
+    fn push_request(&mut self, request: RpcRequest, pipeline: &mut RequestPipeline) {
+        // Discards a cancel request that arrived while all statements were answered.
+        if !pipeline.has_unanswered_statement() {
+            self.cancel.take();
+        }
+        let scope = self.clients.engine.statement_scope(request.method, &request.statement.statement);
         pipeline.push_statement(scope, Box::pin(Rc::clone(self.clients).run_rpc(request)));
     }
 
@@ -145,18 +147,20 @@
             // A write that is declared as a read could be retried and run twice.
             return unusable("22023", &format!("the statement is none of class {:?}", statement.method));
         }
-        let Some(id) = clients.active_ids.register(statement.id.clone()) else {
+        let Some(id) = clients.active_ids.register(Rc::clone(&statement.id)) else {
             return unusable("42710", "an RPC of this id is under way");
         };
         let Ok(memory) = clients.budget.reserve(Category::Statements, statement.size()) else {
-            let mut out = Vec::new();
-            encode_no_capacity(&mut out, TOO_MANY_RPCS);
-            return QueryIntake::Answered(out);
+            return no_capacity();
+        };
+        let Ok(rpc_memory) = clients.budget.reserve(Category::PendingRpcs, RPC_BYTES) else {
+            return no_capacity();
         };
         let client = ClientLiveness::new(Rc::downgrade(&self.stream));
         QueryIntake::Statement {
             method,
-            statement: InFlightStatement { statement, client, memory, active_id: id },
+            statement: Rc::new(InFlightStatement { statement, client, memory, active_id: id }),
+            memory: rpc_memory,
         }
     }
 
--- a/crates/router/src/client/listener.rs
+++ b/crates/router/src/client/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections and starts a session for each.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -11,9 +12,13 @@
 
 use super::ClientSessions;
 use super::session::Session;
+use crate::budget::SESSION_BYTES;
+use crate::connection_memory::{ConnectionMemory, Peer};
 use crate::descriptors::{DescriptorPermit, DescriptorUse};
 use crate::pg::CancelKey;
 use crate::receive_buffer::ReceiveBuffer;
+use crate::session_commits::SessionCommits;
+use crate::signal::Signal;
 
 /// The longest time from accepting a connection to its first complete message.
 const OPENING_TIMEOUT: Duration = Duration::from_secs(2);
@@ -85,25 +90,26 @@
             log::warn!("the descriptor quota for clients is exhausted: rejecting new clients");
         }
         let clients = Rc::clone(self);
+        let commits_memory = self.budget.empty_reservation(Category::ClientConnections);
+        let memory = ConnectionMemory::new(&self.budget, Peer::Client, SESSION_BYTES);
         let number = self.next_session_number.get();
         self.next_session_number.set(number + 1);
-        let (close, closed) = async_channel::bounded(1);
+        let close = Signal::default();
         self.open_sessions.borrow_mut().insert(number, close.clone());
         // Random, since anyone who knows the key can cancel the session's statements.
         let key = CancelKey(rand::random());
-        let (cancel, cancelled) = async_channel::bounded(1);
-        self.cancel_senders.borrow_mut().insert(key, cancel);
+        let cancel = Signal::default();
+        self.cancel_signals.borrow_mut().insert(key, cancel.clone());
         let task = async move {
             _ = stream.get_ref().set_nodelay(true);
             let session = Session {
                 clients: &clients,
                 stream: Rc::new(stream),
-                buffer: ReceiveBuffer::new(clients.budget.empty_reservation(Category::IncomingMessages)),
-                commits: Rc::default(),
+                buffer: ReceiveBuffer::new(memory),
+                commits: Rc::new(RefCell::new(SessionCommits::new(commits_memory))),
                 close,
-                closed,
                 key,
-                cancelled,
+                cancel,
                 permit,
                 discards_until_sync: false,
                 consecutive_unusable_statements: 0,
@@ -112,7 +118,7 @@
             let end = session.serve().await;
             log::debug!("session {number}: {end}");
             // Unregistered last: the session's descriptor has been released by now.
-            clients.cancel_senders.borrow_mut().remove(&key);
+            clients.cancel_signals.borrow_mut().remove(&key);
             clients.open_sessions.borrow_mut().remove(&number);
         };
         self.executor.spawn(task).detach();
--- a/crates/router/src/client/receive.rs
+++ b/crates/router/src/client/receive.rs
@@ -8,7 +8,8 @@
 use super::session::Session;
 use super::session_end::{SessionEnd, SessionResult};
 use crate::descriptors::EvictionPriority;
-use crate::receive_buffer::{READ_CHUNK_BYTES, ReceiveError};
+use crate::receive_buffer::ReceiveError;
+use crate::socket::READ_CHUNK_BYTES;
 use crate::socket_liveness::peer_has_closed;
 
 /// How many bytes of further messages are read from a pipelining client while its requests are in progress.
@@ -42,16 +43,14 @@
         // A draining router still reads the bytes that have already arrived.
         let draining = self.clients.draining.get();
         let close = self.close.clone();
-        let closed = self.closed.clone();
+        let evict = close.clone();
         let opening_deadline = self.opening_deadline;
         let priority = match opening_deadline {
             Some(_) => EvictionPriority::First,
             None => EvictionPriority::Idle,
         };
         let _evictable =
-            self.clients
-                .descriptors
-                .register_evictable(self.permit.held_for, priority, move || _ = close.try_send(()));
+            self.clients.descriptors.register_evictable(self.permit.held_for, priority, move || evict.set());
         let opening_timeout = async {
             match opening_deadline {
                 Some(deadline) => timed_out(deadline).await,
@@ -60,7 +59,7 @@
         };
         let closing = async {
             if !draining {
-                _ = closed.recv().await;
+                close.wait().await;
             }
             Err(SessionEnd::ClosedWhileIdle)
         };
@@ -68,10 +67,11 @@
     }
 
     /// Reads ahead while requests are in progress, so that a disconnect is noticed at once and the arrival
-    /// times of pipelined messages are known. Reads at most [`MAX_READ_AHEAD_BYTES`]: further bytes stay in
-    /// the kernel, and only their number is recorded.
+    /// times of pipelined messages are known. Reads at most [`MAX_READ_AHEAD_BYTES`], and nothing while memory
+    /// is short: further bytes stay in the kernel, and only their number is recorded.
     pub(super) async fn receive_ahead(&mut self) -> SessionResult {
-        if self.buffer.len() < MAX_READ_AHEAD_BYTES && !self.buffer.is_full {
+        let may_read_ahead = !self.buffer.is_full && !self.clients.takes_one_at_a_time();
+        if may_read_ahead && self.buffer.len() < MAX_READ_AHEAD_BYTES {
             match self.buffer.receive(&self.stream).await {
                 Ok(()) => return Ok(()),
                 // Reading continues once a message has been decoded, if there is memory by then.
--- a/crates/router/src/client/request.rs
+++ b/crates/router/src/client/request.rs
@@ -10,6 +10,7 @@
 use super::ClientSessions;
 use super::receive::DISCONNECT_CHECK_INTERVAL;
 use super::response_writer::{TOO_MANY_RPCS, encode_abort, encode_rejection};
+use crate::budget::Reservation;
 use crate::engine::RpcCommand;
 use crate::pg;
 use crate::request_pipeline::EncodedResponse;
@@ -24,13 +25,15 @@
     pub(super) arrived: Instant,
     /// The commits of earlier RPCs on the same connection; a commit of this one is added.
     pub(super) commits: Rc<RefCell<SessionCommits>>,
+    /// What the RPC holds beside its statement, until its response.
+    pub(super) memory: Reservation,
 }
 
 impl ClientSessions {
     /// Runs an RPC and returns its response. Called once those earlier statements of the connection that it
     /// must wait for have ended.
     pub(super) async fn run_rpc(self: Rc<Self>, request: RpcRequest) -> EncodedResponse {
-        let RpcRequest { method, statement: in_flight, arrived, commits } = request;
+        let RpcRequest { method, statement: in_flight, arrived, commits, memory: _memory } = request;
         let mut out = Vec::new();
         let engine = &self.engine;
         let statement = &in_flight.statement;
@@ -60,7 +63,7 @@
                     self.pool.make_attempt(Rc::clone(engine), attempt, Rc::clone(&in_flight));
                     continue;
                 }
-                Some(RpcCommand::Answer { answer, position }) => {
+                Some(RpcCommand::Answer { answer, position, memory: _answer_memory }) => {
                     if let Some(commit) = position.filter(|_| statement.writes) {
                         commits.borrow_mut().record(statement.replica_set, statement.session, commit);
                     }
--- a/crates/router/src/client/request_loop.rs
+++ b/crates/router/src/client/request_loop.rs
@@ -85,7 +85,7 @@
     /// Moves complete messages into the pipeline while it has capacity.
     fn fill_pipeline(&mut self) {
         while self.intake() != Intake::Closed
-            && self.pipeline.has_capacity(self.session.clients.is_memory_critical())
+            && self.pipeline.has_capacity(self.session.clients.takes_one_at_a_time())
         {
             match self.session.buffer.decode_next(Framing::Typed, pg::decode_frontend_message) {
                 Ok(None) => break,
@@ -139,7 +139,7 @@
         let is_ending = self.ending.is_some();
         let reads_first = self.consecutive_reads < MAX_CONSECUTIVE_READS;
         let Self { session, write, pipeline, message_deadline, .. } = self;
-        let cancel_requests = session.cancelled.clone();
+        let cancel = session.cancel.clone();
         let received = async {
             if is_ending {
                 return Err(session.disconnected().await);
@@ -152,10 +152,8 @@
             Ok(SessionEvent::Received)
         };
         let cancelled = async {
-            match cancel_requests.recv().await {
-                Ok(()) => Ok(SessionEvent::Cancelled),
-                Err(_) => future::pending().await,
-            }
+            cancel.wait().await;
+            Ok(SessionEvent::Cancelled)
         };
         let answered = future::poll_fn(|context| {
             if pipeline.poll(context) { Poll::Ready(Ok(SessionEvent::Answered)) } else { Poll::Pending }
--- a/crates/router/src/client/response_writer.rs
+++ b/crates/router/src/client/response_writer.rs
@@ -12,11 +12,14 @@
 use super::ClientSessions;
 use super::receive::timed_out;
 use super::session_end::{SessionEnd, SessionResult};
+use crate::budget::RESPONSE_BYTES;
 use crate::pg;
-use crate::receive_buffer::READ_CHUNK_BYTES;
 use crate::request_pipeline::EncodedResponse;
 use crate::socket;
 
+/// The part of a buffer that fragmentation adds to it: 1/32.
+const FRAGMENTATION_DIVISOR: usize = 32;
+
 /// The minimum mean rate at which a client must read a response; low enough for clients on slow connections.
 const MIN_READ_BYTES_PER_SECOND: u64 = 16 * 1024;
 
@@ -28,12 +31,17 @@
 pub(super) const TOO_MANY_RPCS: &str = "this router holds all the RPCs it may";
 
 impl ClientSessions {
-    /// Whether memory is so short that clients which read slowly are disconnected sooner than usual, and that
-    /// each client's requests are taken one at a time.
+    /// Whether memory is so short that clients which read slowly are disconnected sooner than usual.
     pub(super) fn is_memory_critical(&self) -> bool {
         self.budget.read(|budget| budget.is_active(ReclaimAction::DisconnectSlowReaders))
     }
 
+    /// Whether each client's requests are taken one at a time, since memory is short. Its further requests
+    /// wait unread, and those of other clients are served.
+    pub(super) fn takes_one_at_a_time(&self) -> bool {
+        self.is_memory_critical() || self.budget.limits_pipelining()
+    }
+
     /// Appends ReadyForQuery, which ends each response to a query, and charges the response's memory.
     pub(super) fn encoded_with_ready(&self, mut bytes: Vec<u8>) -> EncodedResponse {
         pg::encode_ready_for_query(&mut bytes);
@@ -47,15 +55,21 @@
         self.encoded_with_ready(out)
     }
 
-    /// Charges a response's memory beyond the first [`READ_CHUNK_BYTES`]. The charge never fails, even beyond
-    /// the budget: new RPCs are rejected instead.
-    pub(super) fn encoded(&self, bytes: Vec<u8>) -> EncodedResponse {
-        let bytes_beyond_chunk = bytes.len().saturating_sub(READ_CHUNK_BYTES);
-        let memory = self.budget.charge(Category::ResponseWrites, bytes_beyond_chunk);
+    /// Charges a response's memory. The charge never fails, even beyond the budget: new RPCs are rejected
+    /// instead.
+    pub(super) fn encoded(&self, mut bytes: Vec<u8>) -> EncodedResponse {
+        bytes.shrink_to_fit();
+        let memory = self.budget.charge(Category::ResponseWrites, response_bytes(&bytes));
         EncodedResponse { bytes, memory }
     }
 }
 
+/// What a response holds until it has been written, with the fragmentation of memory that buffers of many sizes
+/// cause.
+fn response_bytes(bytes: &Vec<u8>) -> usize {
+    bytes.capacity() + bytes.capacity() / FRAGMENTATION_DIVISOR + RESPONSE_BYTES
+}
+
 /// Writes a response. Times out if the client stops reading or reads too slowly, and sooner while memory is
 /// short; a client that keeps reading fast enough gets the whole response, however long it is.
 ///
--- a/crates/router/src/client/session.rs
+++ b/crates/router/src/client/session.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, future};
 
@@ -15,8 +14,9 @@
 use super::session_end::{SessionEnd, SessionResult};
 use crate::descriptors::{DescriptorPermit, EvictionPriority};
 use crate::pg::{self, CancelKey, Framing, StartupPacket};
-use crate::receive_buffer::{READ_CHUNK_BYTES, ReceiveBuffer};
+use crate::receive_buffer::ReceiveBuffer;
 use crate::session_commits::SessionCommits;
+use crate::signal::Signal;
 use crate::socket;
 
 /// How long, and how many bytes, the router still reads and discards after it has shut down its side of the
@@ -33,12 +33,11 @@
     pub(super) buffer: ReceiveBuffer,
     /// The commits of RPCs on this connection.
     pub(super) commits: Rc<RefCell<SessionCommits>>,
-    /// Asks this session to close as soon as it is idle; `closed` receives the request.
-    pub(super) close: Sender<()>,
-    pub(super) closed: Receiver<()>,
+    /// Asks this session to close as soon as it is idle.
+    pub(super) close: Signal,
     pub(super) key: CancelKey,
-    /// Receives the cancel requests with this session's key.
-    pub(super) cancelled: Receiver<()>,
+    /// Set by cancel requests with this session's key.
+    pub(super) cancel: Signal,
     pub(super) permit: DescriptorPermit,
     /// Whether messages are discarded up to the next Sync, because an extended query message arrived.
     pub(super) discards_until_sync: bool,
@@ -126,22 +125,22 @@
         }
         self.buffer.clear();
         // Closed early only when descriptors are short.
-        let (close, closed) = async_channel::bounded::<()>(1);
+        let close = Signal::default();
+        let evict = close.clone();
         let _evictable = self.clients.descriptors.register_evictable(
             self.permit.held_for,
             EvictionPriority::First,
-            move || _ = close.try_send(()),
+            move || evict.set(),
         );
-        let evicted = async { _ = closed.recv().await };
+        let evicted = close.wait();
         let timeout = async { _ = Timer::after(LINGER_TIMEOUT).await };
         self.discard_received().or(evicted).or(timeout).await;
     }
 
     /// Reads and discards bytes until the client shuts down its side or [`MAX_LINGER_BYTES`] have arrived.
     async fn discard_received(&self) {
-        let mut chunk = [0; READ_CHUNK_BYTES];
         let mut remaining = MAX_LINGER_BYTES;
-        while let Ok(count) = socket::read(&self.stream, &mut chunk).await
+        while let Ok(count) = socket::read_chunk(&self.stream, <[u8]>::len).await
             && count > 0
             && count < remaining
         {
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -7,6 +7,7 @@
 
 mod clock;
 mod command;
+mod command_queue;
 mod host;
 mod methods;
 mod observations;
--- a/crates/router/src/engine/command.rs
+++ b/crates/router/src/engine/command.rs
@@ -4,6 +4,7 @@
 
 use quillpoint::host::{AttemptNumber, LoadReport, NodeId, Outcome, Role, RpcId};
 
+use crate::budget::Reservation;
 use crate::pg::QueryResult;
 
 /// A command to the task of an RPC. All variants except `Attempt` are final responses.
@@ -16,6 +17,8 @@
         answer: QueryResult,
         /// The log position that the node reported with the answer; for a write, its commit time.
         position: Option<Duration>,
+        /// The memory charged for the answer.
+        memory: Option<Reservation>,
     },
     /// Reject the RPC: nothing ran.
     Reject {
@@ -59,6 +62,8 @@
 pub struct NodeResponse {
     /// The answer to the statement, if it arrived completely.
     pub answer: Option<QueryResult>,
+    /// The memory charged for the answer.
+    pub answer_memory: Option<Reservation>,
     /// The node's role.
     pub role: Option<Role>,
     /// The node's log position, or the commit time of a write.
--- a/crates/router/src/engine/host.rs
+++ b/crates/router/src/engine/host.rs
@@ -12,10 +12,11 @@
 
 use super::clock::Clock;
 use super::command::{AttemptCommand, BackgroundTask, RpcCommand};
+use super::command_queue::CommandSender;
 
 /// An RPC whose final response is pending.
 pub(super) struct PendingRpc {
-    pub(super) commands: Sender<RpcCommand>,
+    pub(super) commands: CommandSender,
     pub(super) replica_set: ReplicaSetId,
     pub(super) deadline: Duration,
     pub(super) attempts: u32,
@@ -45,9 +46,7 @@
     /// Ends the RPC and sends its final response to its task. Does nothing if the RPC has already ended.
     pub(super) fn finish(&self, rpc: RpcId, command: impl FnOnce(&PendingRpc) -> RpcCommand) {
         if let Some(pending) = self.remove(rpc) {
-            // Sending fails if the task has ended because its client disconnected. Nobody needs the response
-            // then.
-            _ = pending.commands.try_send(command(&pending));
+            pending.commands.send(command(&pending));
         }
     }
 }
@@ -74,7 +73,7 @@
         if number.0 >= state.max_attempts {
             return state.unsent.borrow_mut().push(attempt);
         }
-        _ = entry.commands.try_send(RpcCommand::Attempt(attempt));
+        entry.commands.send(RpcCommand::Attempt(attempt));
     }
 
     fn reject(&mut self, rpc: RpcId, retry_after: Duration) {
--- a/crates/router/src/engine/pending_response.rs
+++ b/crates/router/src/engine/pending_response.rs
@@ -2,33 +2,33 @@
 
 use std::rc::Rc;
 
-use async_channel::Receiver;
 use quillpoint::host::{Outcome, RpcId};
 
 use super::Engine;
 use super::command::{NodeResponse, RpcCommand};
+use super::command_queue::CommandReceiver;
 
 /// A pending RPC, as its task sees it. Dropping it before the final response means that the client has
 /// disconnected.
 pub struct PendingResponse {
     engine: Rc<Engine>,
     rpc: RpcId,
-    commands: Receiver<RpcCommand>,
+    commands: CommandReceiver,
 }
 
 impl PendingResponse {
-    pub(super) fn new(engine: Rc<Engine>, rpc: RpcId, commands: Receiver<RpcCommand>) -> Self {
+    pub(super) fn new(engine: Rc<Engine>, rpc: RpcId, commands: CommandReceiver) -> Self {
         Self { engine, rpc, commands }
     }
 
     /// Waits for the next command. Returns `None` after the final response.
     pub async fn next_command(&self) -> Option<RpcCommand> {
-        self.commands.recv().await.ok()
+        self.commands.receive().await
     }
 
     /// Returns the next command if one is already queued.
     pub fn try_next_command(&self) -> Option<RpcCommand> {
-        self.commands.try_recv().ok()
+        self.commands.try_receive()
     }
 }
 
--- a/crates/router/src/engine/rpcs.rs
+++ b/crates/router/src/engine/rpcs.rs
@@ -7,6 +7,7 @@
 
 use super::Engine;
 use super::command::{AttemptCommand, NodeResponse, RpcCommand};
+use super::command_queue::command_queue;
 use super::host::PendingRpc;
 use super::observations::{ObservationSource, ObservedState};
 use super::pending_response::PendingResponse;
@@ -35,7 +36,7 @@
         if wait.is_zero() {
             return None;
         }
-        let (commands, command_receiver) = async_channel::unbounded();
+        let (commands, command_receiver) = command_queue();
         let id = self.next_rpc_id();
         let replica_set = statement.replica_set;
         self.refresh_observations(replica_set);
@@ -110,7 +111,7 @@
         response: NodeResponse,
     ) {
         let AttemptCommand { rpc, number, node, started, .. } = attempt;
-        let NodeResponse { answer, role, position, report } = response;
+        let NodeResponse { answer, answer_memory, role, position, report } = response;
         let now = self.clock.now();
         if outcome == Outcome::Ok && !self.decisions.borrow().permits_response(now, rpc, number, position) {
             log::debug!("node {}: rejected an answer that does not prove its freshness", node.0);
@@ -118,7 +119,7 @@
         }
         if let Some(answer) = answer.filter(|_| outcome == Outcome::Ok) {
             // The first valid answer is sent to the client without another decision.
-            self.host.finish(rpc, |_| RpcCommand::Answer { answer, position });
+            self.host.finish(rpc, |_| RpcCommand::Answer { answer, position, memory: answer_memory });
         }
         let rpc_finished = !self.record_outcome(rpc, outcome);
         let took = now.saturating_sub(started);
--- a/crates/router/src/memory_report.rs
+++ b/crates/router/src/memory_report.rs
@@ -29,6 +29,11 @@
         let unaccounted = resident.saturating_sub(budget.total_used());
         log::info!(
             event = "memory", resident, unaccounted, refused, level:? = budget.level(),
+            queued = used(Category::PendingRpcs), queued_high = peak(Category::PendingRpcs),
+            connections_clients = used(Category::ClientConnections),
+            connections_clients_high = peak(Category::ClientConnections),
+            connections_nodes = used(Category::NodeConnections),
+            connections_nodes_high = peak(Category::NodeConnections),
             buffers_coming = used(Category::IncomingMessages),
             buffers_coming_high = peak(Category::IncomingMessages),
             buffers_statements = used(Category::Statements), buffers_statements_high = peak(Category::Statements),
--- a/crates/router/src/pg/backend.rs
+++ b/crates/router/src/pg/backend.rs
@@ -9,6 +9,9 @@
 const MAX_VALUE_BYTES: usize = 1 << 20;
 /// The overhead of a row with one column: the message length, the column count, and the length of the value.
 const ROW_OVERHEAD_BYTES: usize = 4 + 2 + 4;
+/// The overhead of a result and of ReadyForQuery behind it: message types, lengths, fixed fields and
+/// terminators.
+const RESULT_OVERHEAD_BYTES: usize = 64;
 /// The length field of a null value.
 const NULL_LENGTH: u32 = u32::MAX;
 
@@ -208,6 +211,8 @@
 
 /// Appends a result: the description of the column, the row, and the command tag.
 pub fn encode_result(out: &mut Vec<u8>, result: &QueryResult) {
+    // A buffer that grew in steps would leave holes of the value's size between later buffers.
+    out.reserve_exact(result.size() + RESULT_OVERHEAD_BYTES);
     let column = &result.column;
     encode_message(out, b'T', |out| {
         out.extend(1u16.to_be_bytes());
--- a/crates/router/src/pg/response.rs
+++ b/crates/router/src/pg/response.rs
@@ -13,6 +13,14 @@
     pub tag: Vec<u8>,
 }
 
+impl QueryResult {
+    /// The bytes of memory that the texts of the result take.
+    pub fn size(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, Vec::capacity);
+        self.column.name.capacity() + value + self.tag.capacity()
+    }
+}
+
 /// The response to a query.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Response {
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -18,8 +18,9 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use quillpoint::host::NodeId;
+use quillpoint_memory_budget::Category;
 
-use crate::budget::SharedBudget;
+use crate::budget::{ATTEMPT_BYTES, SharedBudget};
 use crate::deployment::Deployment;
 use crate::descriptors::{DescriptorLimiter, EvictableRegistration};
 use crate::engine::{AttemptCommand, BackgroundTask, Engine};
@@ -147,7 +148,9 @@
         statement: Rc<InFlightStatement>,
     ) {
         let pool = Rc::clone(self);
+        let memory = self.budget.charge(Category::PendingRpcs, ATTEMPT_BYTES);
         let task = async move {
+            let _memory = memory;
             let deadline = engine.clock.instant(attempt.deadline);
             // Every attempt passes this check right before its first byte is written, and again after a
             // stalled write: its RPC is pending, its client is connected, and the decisions still permit it.
--- a/crates/router/src/pool/checkout.rs
+++ b/crates/router/src/pool/checkout.rs
@@ -125,11 +125,17 @@
     async fn await_connection(self: &Rc<Self>, node: NodeId, deadline: Instant) -> CheckoutResult {
         let (waiter, checked_out) = async_channel::bounded(1);
         self.enqueue_waiter(node, waiter);
-        self.executor.spawn(Rc::clone(self).dial(node)).detach();
+        self.spawn_dial(node);
         let received = async { checked_out.recv().await.unwrap_or(Err(Outcome::NotSent)) };
         received.or(value_at(deadline, Err(Outcome::NotSent))).await
     }
 
+    /// Starts a task that dials the node. Not within an async function, which would hold the space of the
+    /// task's future as long as it waits.
+    fn spawn_dial(self: &Rc<Self>, node: NodeId) {
+        self.executor.spawn(Rc::clone(self).dial(node)).detach();
+    }
+
     async fn dial(self: Rc<Self>, node: NodeId) {
         // Waiting for a descriptor is not the node's fault, so the connect timeout starts after it.
         let permit = self.descriptors.acquire().await;
--- a/crates/router/src/pool/connection.rs
+++ b/crates/router/src/pool/connection.rs
@@ -13,14 +13,13 @@
 use quillpoint_memory_budget::Category;
 
 use super::validation::Validation;
-use crate::budget::{Reservation, ReservationRejected, SharedBudget};
+use crate::budget::{NODE_CONNECTION_BYTES, ReservationRejected, SharedBudget};
+use crate::connection_memory::{ConnectionMemory, Peer};
 use crate::descriptors::DescriptorPermit;
 use crate::message_buffer::MessageBuffer;
 use crate::pg::{self, BackendMessage, Framing, ProtocolViolation};
-use crate::socket;
+use crate::socket::{self, READ_CHUNK_BYTES};
 
-/// The size of one read.
-const READ_CHUNK_BYTES: usize = 4096;
 /// The longest response that is read. An answer of one value is much shorter.
 const MAX_RESPONSE_BYTES: usize = 2 << 20;
 /// Nodes accept any user and database. These are the names that clients use.
@@ -51,7 +50,7 @@
 pub(super) struct NodeConnection {
     pub(super) stream: Async<TcpStream>,
     pub(super) undecoded: MessageBuffer,
-    memory: Reservation,
+    memory: ConnectionMemory,
     pub(super) validation: Validation,
     /// Whether the first byte of the current query has been written.
     pub(super) write_begun: bool,
@@ -76,12 +75,13 @@
         permit: DescriptorPermit,
         budget: &SharedBudget,
     ) -> Result<Self, ConnectionError> {
+        let memory = ConnectionMemory::new(budget, Peer::Node, NODE_CONNECTION_BYTES);
         let stream = Async::<TcpStream>::connect(node.0).await?;
         stream.get_ref().set_nodelay(true)?;
         let mut connection = Self {
             stream,
             undecoded: MessageBuffer::default(),
-            memory: budget.empty_reservation(Category::Responses),
+            memory,
             validation: Validation::Done,
             write_begun: false,
             fully_written: false,
@@ -121,11 +121,13 @@
     pub(super) async fn write(
         &mut self,
         query: &impl Fn() -> Option<Vec<u8>>,
+        budget: &SharedBudget,
     ) -> Result<(), ConnectionError> {
         self.write_begun = false;
         self.fully_written = false;
         self.bytes_read = 0;
         let mut message = query().ok_or(ConnectionError::NotPermitted)?;
+        let _memory = budget.charge(Category::Statements, message.capacity());
         self.last_used = Instant::now();
         let mut written = 0;
         while written < message.len() {
@@ -212,9 +214,7 @@
         Ok(true)
     }
 
-    /// Reserves the buffer's memory beyond one chunk. One chunk for each connection is bounded by the
-    /// descriptor limit.
     fn reserve_memory(&mut self) -> Result<(), ReservationRejected> {
-        self.memory.resize(self.undecoded.capacity().saturating_sub(READ_CHUNK_BYTES))
+        self.memory.resize(self.undecoded.capacity(), 0)
     }
 }
--- a/crates/router/src/pool/exchange.rs
+++ b/crates/router/src/pool/exchange.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::FutureExt;
 use quillpoint::host::{NodeId, Outcome};
+use quillpoint_memory_budget::Category;
 
 use super::checkout::CheckedOut;
 use super::connection::{ConnectionError, NodeConnection};
@@ -103,7 +104,7 @@
         query: &impl Fn() -> Option<Vec<u8>>,
         response: &mut NodeResponse,
     ) -> Result<Outcome, ExchangeError> {
-        connection.write(query).await.map_err(without_outcome)?;
+        connection.write(query, &self.budget).await.map_err(without_outcome)?;
         let mut reader = pg::ResponseReader::default();
         let mut outcome = None;
         loop {
@@ -129,6 +130,8 @@
                     None => {}
                     Some(Response::Result(answer)) => {
                         outcome = Some(Outcome::Ok);
+                        let memory = self.budget.charge(Category::Responses, answer.size());
+                        response.answer_memory = Some(memory);
                         response.answer = Some(answer);
                     }
                     Some(Response::Error { code, message, fatal, result_begun }) => {
--- a/crates/router/src/pool/health_check.rs
+++ b/crates/router/src/pool/health_check.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use quillpoint::host::NodeId;
+use quillpoint_memory_budget::Category;
 
 use super::ConnectionPool;
 use super::exchange::Exchange;
+use crate::budget::ATTEMPT_BYTES;
 use crate::engine::Engine;
 use crate::pg;
 
@@ -18,7 +20,11 @@
         let pool = Rc::clone(self);
         let engine = Rc::clone(engine);
         let requested_at = engine.clock.now();
-        let task = async move { pool.check_health(&engine, node, requested_at).await };
+        let memory = self.budget.charge(Category::NodeConnections, ATTEMPT_BYTES);
+        let task = async move {
+            let _memory = memory;
+            pool.check_health(&engine, node, requested_at).await;
+        };
         self.executor.spawn(task).detach();
     }
 
--- a/crates/router/src/receive_buffer.rs
+++ b/crates/router/src/receive_buffer.rs
@@ -10,14 +10,13 @@
 
 use async_io::Async;
 
-use crate::budget::{Reservation, ReservationRejected};
+use crate::budget::ReservationRejected;
+use crate::connection_memory::ConnectionMemory;
 use crate::message_buffer::MessageBuffer;
 use crate::pg::{Decoded, Framing, ProtocolViolation};
-use crate::socket;
+use crate::socket::{self, READ_CHUNK_BYTES};
 use crate::socket_liveness::unread_bytes;
 
-/// The size of one read.
-pub const READ_CHUNK_BYTES: usize = 4096;
 /// How many arrival times are stored. Beyond it the oldest is dropped, and its bytes count as arrived with
 /// the next ones.
 const MAX_ARRIVALS: usize = 256;
@@ -25,7 +24,7 @@
 /// The receive buffer of one client connection.
 pub struct ReceiveBuffer {
     undecoded: MessageBuffer,
-    memory: Reservation,
+    memory: ConnectionMemory,
     /// The number of bytes decoded since the connection was opened.
     decoded_bytes: u64,
     /// The number of bytes read since the connection was opened.
@@ -65,7 +64,7 @@
 
 impl ReceiveBuffer {
     /// Creates an empty buffer that accounts for its memory with `memory`.
-    pub fn new(memory: Reservation) -> Self {
+    pub fn new(memory: ConnectionMemory) -> Self {
         Self {
             undecoded: MessageBuffer::default(),
             memory,
@@ -101,8 +100,11 @@
         let decoded = self.arrivals.partition_point(|arrival| arrival.total_bytes < self.decoded_bytes);
         self.arrivals.drain(..decoded);
         let arrived = self.arrivals.front().map_or_else(Instant::now, |arrival| arrival.at);
+        if self.undecoded.is_empty() {
+            self.release_arrivals();
+        }
         // Shrinking cannot fail. Joining the pieces of a message may have allocated some bytes more.
-        _ = self.memory.resize(bytes_to_reserve(self.undecoded.capacity()));
+        _ = self.account();
         Ok(Some(ReceivedMessage { message, arrived }))
     }
 
@@ -112,9 +114,7 @@
     /// The connection is closed or broken, or the memory budget has no room for the bytes. In the latter case
     /// the bytes have been read.
     pub async fn receive(&mut self, stream: &Async<TcpStream>) -> Result<(), ReceiveError> {
-        let mut chunk = [0; READ_CHUNK_BYTES];
-        let count = socket::read(stream, &mut chunk).await?;
-        self.append(&chunk[..count])
+        socket::read_chunk(stream, |bytes| self.append(bytes)).await?
     }
 
     /// Reads at most `max_bytes` of those that have arrived, without waiting, and returns their number.
@@ -138,7 +138,7 @@
         self.undecoded.append(bytes);
         self.read_bytes += bytes.len() as u64;
         self.record_arrival(self.read_bytes);
-        let reserved = self.memory.resize(bytes_to_reserve(self.undecoded.capacity()));
+        let reserved = self.account();
         self.is_full = reserved.is_err();
         Ok(reserved?)
     }
@@ -152,22 +152,29 @@
     fn record_arrival(&mut self, total_bytes: u64) {
         let recorded = self.arrivals.back().map_or(self.decoded_bytes, |arrival| arrival.total_bytes);
         if total_bytes > recorded {
+            if self.arrivals.len() >= MAX_ARRIVALS {
+                self.arrivals.pop_front();
+            }
             self.arrivals.push_back(Arrival { total_bytes, at: Instant::now() });
         }
-        if self.arrivals.len() > MAX_ARRIVALS {
-            self.arrivals.pop_front();
-        }
     }
 
     /// Discards all bytes and frees the buffer.
     pub fn clear(&mut self) {
         self.undecoded.clear();
-        _ = self.memory.resize(0);
+        self.arrivals = VecDeque::new();
+        _ = self.account();
     }
-}
 
-/// The bytes to reserve for a buffer: those beyond one chunk. One chunk for each session is bounded by the
-/// descriptor limit.
-fn bytes_to_reserve(capacity: usize) -> usize {
-    capacity.saturating_sub(READ_CHUNK_BYTES)
+    /// Frees the memory for the arrival times of many short pieces, which a connection seldom needs.
+    fn release_arrivals(&mut self) {
+        if self.arrivals.is_empty() {
+            self.arrivals = VecDeque::new();
+        }
+    }
+
+    fn account(&mut self) -> Result<(), ReservationRejected> {
+        let arrivals_bytes = self.arrivals.capacity() * size_of::<Arrival>();
+        self.memory.resize(self.undecoded.capacity(), arrivals_bytes)
+    }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -43,7 +43,12 @@
     let signals = signals::install()?;
     let startup = &config.startup;
     let deployment = &startup.deployment;
-    let descriptors = DescriptorLimiter::new(startup.max_sockets);
+    let budget = SharedBudget::new(startup.memory_bytes);
+    let max_sockets = startup.max_sockets.min(budget.max_sockets());
+    if max_sockets < startup.max_sockets {
+        log::warn!("limits.memory_mb allows for {max_sockets} sockets only");
+    }
+    let descriptors = DescriptorLimiter::new(max_sockets);
     let listener = Rc::new(Async::<TcpListener>::bind(startup.listen)?);
     let listener_permit = descriptors.acquire().await;
     let (engine, outputs) = Engine::new(startup.seed, deployment);
@@ -61,7 +66,6 @@
     engine.endpoints_changed(EndpointUpdate::CachedSnapshot, &cached_endpoints);
     let connections =
         Rc::new(ControlConnections::open(&config.roles, &engine, &descriptors, startup.seed).await?);
-    let budget = SharedBudget::new(startup.memory_bytes);
     executor.spawn(memory_report::run(budget.clone())).detach();
     let resources = client_resources(&executor, &engine, &descriptors, &budget, deployment);
     let pool = Rc::clone(&resources.pool);
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -5,6 +5,23 @@
 
 use async_io::Async;
 
+/// The most bytes of one read.
+pub const READ_CHUNK_BYTES: usize = 4096;
+
+/// Waits for bytes, reads up to [`READ_CHUNK_BYTES`], and passes them to `receive`; none if the peer has shut
+/// down its side. The chunk is on the stack for the time of the call, and not in the future that waits.
+///
+/// # Errors
+/// The connection is broken.
+pub async fn read_chunk<T>(stream: &Async<TcpStream>, mut receive: impl FnMut(&[u8]) -> T) -> io::Result<T> {
+    let read = |mut stream: &TcpStream| {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let count = retry_interrupted(|| stream.read(&mut chunk))?;
+        Ok(receive(&chunk[..count]))
+    };
+    stream.read_with(read).await
+}
+
 /// Waits for bytes, reads them into `chunk`, and returns their number; zero if the peer has shut down its
 /// side.
 ///
--- a/crates/router/src/statement.rs
+++ b/crates/router/src/statement.rs
@@ -9,6 +9,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
+use std::rc::Rc;
 use std::time::Duration;
 
 use quillpoint::host::{ReplicaSetId, SessionKey};
@@ -27,7 +28,7 @@
     /// The position of the value of `d` in the text.
     remaining_range: Range<usize>,
     /// The client's id for the RPC, at most 64 bytes.
-    pub id: String,
+    pub id: Rc<str>,
     /// The name of the RPC's method, from the `c` field (class).
     pub method: String,
     /// Whether the statement is a write.
@@ -67,7 +68,7 @@
         let session = sql::first_literal(&text[comment.end..]).map(session_key);
         Ok(Self {
             remaining_range: comment.remaining_range,
-            id: comment.id,
+            id: comment.id.into(),
             method: comment.method,
             writes,
             remaining: comment.remaining,
--- a/crates/router/tests/input_cost.rs
+++ b/crates/router/tests/input_cost.rs
@@ -9,9 +9,9 @@
 
 use futures_lite::future;
 use quillpoint::host::EndpointUpdate;
-use quillpoint_memory_budget::Category;
 use quillpoint_router::budget::SharedBudget;
 use quillpoint_router::config::StartupOptions;
+use quillpoint_router::connection_memory::{ConnectionMemory, Peer};
 use quillpoint_router::deployment::Deployment;
 use quillpoint_router::endpoint_list::{EndpointList, EndpointParser};
 use quillpoint_router::engine::Engine;
@@ -147,7 +147,7 @@
         sender.set_nodelay(true).unwrap();
         let receiver = listener.accept().unwrap().0;
         let budget = SharedBudget::new(192 << 20);
-        let buffer = ReceiveBuffer::new(budget.empty_reservation(Category::IncomingMessages));
+        let buffer = ReceiveBuffer::new(ConnectionMemory::new(&budget, Peer::Client, 0));
         Self { buffer, sender, receiver }
     }
 
--- a/crates/router/tests/observation_exchange.rs
+++ b/crates/router/tests/observation_exchange.rs
@@ -189,5 +189,5 @@
 
 fn node_response(position: Option<Duration>) -> quillpoint_router::engine::NodeResponse {
     let answer = quillpoint_testbed::replica_set::single_value_result(b"v");
-    quillpoint_router::engine::NodeResponse { answer: Some(answer), role: None, position, report: None }
+    quillpoint_router::engine::NodeResponse { answer: Some(answer), position, ..Default::default() }
 }
