Shutdown: all that has arrived is answered before the process exits

Cause: after the end of its schedule the shutdown gave all sessions ten checks of 5 ms, however many statements were left to reject, and each session rejected 16 at a time, with a write for each, and 64 KiB in all.

Change: a session that ends rejects whatever has arrived without storing or parsing it, looks again after each round, and closes when nothing is left. The shutdown waits for sessions up to 50 ms before SIGKILL; pauses of the process do not count. Responses that are ready are written together, up to 16 KiB. The same goes for sessions that end for unusable statements, for lack of a descriptor, or of memory: there the message without memory is rejected too, where before only the session's error followed.

--- a/crates/router/src/budget.rs
+++ b/crates/router/src/budget.rs
@@ -142,6 +142,13 @@
 }
 
 impl Reservation {
+    /// Takes over the bytes of another reservation of the same category.
+    pub fn absorb(&mut self, other: Self) {
+        let bytes = self.bytes + other.bytes;
+        drop(other);
+        self.recharge(bytes);
+    }
+
     /// Changes the number of reserved bytes even if that exceeds the budget, for memory that is bounded by
     /// other limits or that is needed to end work which has begun.
     pub fn recharge(&mut self, bytes: usize) {
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,12 +1,13 @@
 //! The client side: the listener, client sessions, and the life cycle of an RPC.
 //!
 //! `listener` accepts connections, `session` opens and closes a session, `request_loop` drives it, `receive`
-//! reads from its socket, `intake` turns its messages into pipeline requests, `request` runs an RPC, and
-//! `response_writer` writes responses.
+//! reads from its socket, `intake` turns its messages into pipeline requests, `request` runs an RPC,
+//! `response_writer` writes responses, and `rejection` answers what has arrived when a session ends.
 
 mod intake;
 mod listener;
 mod receive;
+mod rejection;
 mod request;
 mod request_loop;
 mod response_writer;
@@ -121,7 +122,7 @@
 
     /// Ends each session after the messages that have arrived, whose statements are rejected. Without this, a
     /// client that never pauses would keep its session open until the process exits, which leaves the
-    /// statements that were read last without an answer.
+    /// statements that arrived last without an answer.
     pub fn stop(&self) {
         self.stopping.set(true);
     }
--- a/crates/router/src/client/intake.rs
+++ b/crates/router/src/client/intake.rs
@@ -9,24 +9,19 @@
 use super::request::RpcRequest;
 use super::response_writer::{TOO_MANY_RPCS, encode_no_capacity};
 use super::session::Session;
-use super::session_end::{Ending, Intake, SessionEnd, SessionResult};
+use super::session_end::{Ending, SessionEnd};
 use crate::budget::{RPC_BYTES, Reservation};
 use crate::pg::{self, FrontendMessage};
 use crate::receive_buffer::ReceivedMessage;
 use crate::request_pipeline::RequestPipeline;
-use crate::socket_liveness::{ClientLiveness, unread_bytes};
+use crate::socket_liveness::ClientLiveness;
 use crate::statement::{InFlightStatement, Statement, quoted_part};
 
 /// The session ends after this many consecutive unusable statements: it is not a client of this service.
 const MAX_CONSECUTIVE_UNUSABLE_STATEMENTS: usize = 8;
 
-/// The most bytes that a session which is about to end reads in order to reject the statements in them.
-const MAX_REJECTED_BYTES: usize = 64 * 1024;
-
 /// The error message for a client over the descriptor quota.
 const NO_SOCKET: &str = "this router has no socket left for it";
-/// The error message for a statement that was read behind the one that ends its session.
-const SESSION_ENDS: &str = "its session ends: nothing ran";
 
 /// The result of reading a query. The bytes are the response messages without ReadyForQuery.
 enum QueryIntake {
@@ -55,7 +50,6 @@
     pub(super) fn handle_message(
         &mut self,
         received: ReceivedMessage<FrontendMessage>,
-        intake: Intake,
         pipeline: &mut RequestPipeline,
     ) -> Option<Ending> {
         let ReceivedMessage { message, arrived } = received;
@@ -69,11 +63,7 @@
             _ if self.discards_until_sync => return None,
             FrontendMessage::ExtendedQuery => {
                 self.discards_until_sync = true;
-                pg::encode_error(&mut out, false, "0A000", "only simple queries are taken", None);
-            }
-            FrontendMessage::Query(_) if intake == Intake::Rejecting => {
-                pipeline.push_response(self.clients.encoded_no_capacity(SESSION_ENDS));
-                return None;
+                pg::encode_extended_query_error(&mut out);
             }
             FrontendMessage::Query(text) => return self.handle_query(text, arrived, pipeline),
         }
@@ -89,7 +79,7 @@
     ) -> Option<Ending> {
         if !self.permit.try_admit() {
             pipeline.push_response(self.clients.encoded_no_capacity(NO_SOCKET));
-            return Some(self.end_after_arrived(Ok(())));
+            return Some(Ending::after_arrived(Ok(())));
         }
         match self.read_query(text) {
             QueryIntake::Statement { method, statement, memory } => {
@@ -107,7 +97,7 @@
                 self.consecutive_unusable_statements += 1;
                 pipeline.push_response(self.clients.encoded_with_ready(out));
                 let is_last = self.consecutive_unusable_statements >= MAX_CONSECUTIVE_UNUSABLE_STATEMENTS;
-                is_last.then(|| self.end_after_arrived(Err(SessionEnd::TooManyUnusableStatements)))
+                is_last.then(|| Ending::after_arrived(Err(SessionEnd::TooManyUnusableStatements)))
             }
         }
     }
@@ -121,13 +111,6 @@
         pipeline.push_statement(scope, Box::pin(Rc::clone(self.clients).run_rpc(request)));
     }
 
-    /// Ends the session after all that has arrived by now, which the client may have sent along with the last
-    /// message.
-    pub(super) fn end_after_arrived(&self, result: SessionResult) -> Ending {
-        let arrived = unread_bytes(self.stream.get_ref()) as usize;
-        Ending::rejecting(result, arrived.min(MAX_REJECTED_BYTES))
-    }
-
     /// Parses a query and reserves the resources for its statement.
     fn read_query(&self, text: Vec<u8>) -> QueryIntake {
         let clients = self.clients;
--- a/crates/router/src/client/request_loop.rs
+++ b/crates/router/src/client/request_loop.rs
@@ -12,9 +12,8 @@
 use super::receive::MAX_CONSECUTIVE_READS;
 use super::response_writer::write_response;
 use super::session::Session;
-use super::session_end::{Ending, Intake, SessionEnd, SessionResult};
+use super::session_end::{Ending, SessionEnd, SessionResult};
 use crate::pg::{self, Framing};
-use crate::receive_buffer::ReceiveError;
 use crate::request_pipeline::RequestPipeline;
 
 /// An event that the session's loop handles.
@@ -59,20 +58,19 @@
     pub(super) async fn run(mut self) -> SessionResult {
         loop {
             if self.ending.is_none() && self.session.clients.stopping.get() {
-                self.ending = Some(self.session.end_after_arrived(Err(SessionEnd::RouterStopping)));
+                self.ending = Some(Ending::after_arrived(Err(SessionEnd::RouterStopping)));
             }
             self.fill_pipeline();
             self.begin_write();
-            if self.is_idle() && self.ending.is_some() {
-                if self.receive_rest() {
-                    continue;
-                }
-                return self.ending.map_or(Ok(()), |ending| ending.result);
+            if self.is_idle()
+                && let Some(ending) = self.ending.take()
+            {
+                return self.end(ending).await;
             }
             match self.next_event().await {
                 Ok(event) => self.handle(event).await?,
-                // There is no memory for what has not been read yet.
-                Err(end @ SessionEnd::OutOfMemory(_)) => self.ending = Some(Ending::rejecting(Err(end), 0)),
+                // There is no memory for the rest of the message. Behind it, others may have arrived whole.
+                Err(end @ SessionEnd::OutOfMemory(_)) => self.ending = Some(Ending::after_arrived(Err(end))),
                 Err(end) => return self.abandon(end).await,
             }
         }
@@ -84,45 +82,34 @@
 
     /// Moves complete messages into the pipeline while it has capacity.
     fn fill_pipeline(&mut self) {
-        while self.intake() != Intake::Closed
-            && self.pipeline.has_capacity(self.session.clients.takes_one_at_a_time())
+        while self.ending.is_none() && self.pipeline.has_capacity(self.session.clients.takes_one_at_a_time())
         {
             match self.session.buffer.decode_next(Framing::Typed, pg::decode_frontend_message) {
                 Ok(None) => break,
                 Ok(Some(received)) => {
                     self.session.opening_deadline = None;
                     self.message_deadline = None;
-                    let intake = self.intake();
-                    let ending = self.session.handle_message(received, intake, &mut self.pipeline);
-                    self.ending = ending.or(self.ending.take());
+                    self.ending = self.session.handle_message(received, &mut self.pipeline);
                 }
                 Err(violation) => self.ending = Some(Ending::immediate(Err(violation.into()))),
             }
         }
     }
 
-    fn intake(&self) -> Intake {
-        self.ending.as_ref().map_or(Intake::Open, |ending| ending.intake)
-    }
-
-    /// Reads what had arrived when the end of the session was decided. Returns whether there was anything.
-    fn receive_rest(&mut self) -> bool {
-        let Some(ending) = self.ending.as_mut().filter(|ending| ending.unread_bytes > 0) else {
-            return false;
-        };
-        let received =
-            self.session.buffer.receive_arrived(self.session.stream.get_ref(), ending.unread_bytes);
-        ending.unread_bytes -= received.as_ref().map_or(ending.unread_bytes, |count| *count);
-        // Bytes beyond the memory budget have been read all the same.
-        matches!(received, Ok(_) | Err(ReceiveError::OutOfMemory(_)))
+    /// Ends the session after the requests in the pipeline have been answered.
+    async fn end(self, ending: Ending) -> SessionResult {
+        if ending.rejects_arrived {
+            self.session.reject_arrived().await?;
+        }
+        ending.result
     }
 
-    /// Starts writing the next response that is due, unless one is being written.
+    /// Starts writing the responses that are due, unless some are being written.
     fn begin_write(&mut self) {
         if self.write.is_some() {
             return;
         }
-        if let Some(response) = self.pipeline.pop_response() {
+        if let Some(response) = self.pipeline.pop_responses() {
             let clients = Rc::clone(self.session.clients);
             let stream = Rc::clone(&self.session.stream);
             self.write = Some(Box::pin(write_response(clients, stream, response)));
--- a/crates/router/src/client/session.rs
+++ b/crates/router/src/client/session.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    async fn write(&self, bytes: Vec<u8>) -> SessionResult {
+    pub(super) async fn write(&self, bytes: Vec<u8>) -> SessionResult {
         let response = self.clients.encoded(bytes);
         write_response(Rc::clone(self.clients), Rc::clone(&self.stream), response).await
     }
--- a/crates/router/src/client/session_end.rs
+++ b/crates/router/src/client/session_end.rs
@@ -38,37 +38,23 @@
     TooManyUnusableStatements,
 }
 
-/// Which further messages a session takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Intake {
-    /// All messages.
-    Open,
-    /// Only those that have arrived, since the session is about to end. Their statements are rejected: a close
-    /// would leave them without an answer.
-    Rejecting,
-    /// None.
-    Closed,
-}
-
 /// How a session ends once its requests have been answered.
 pub(super) struct Ending {
     pub(super) result: SessionResult,
-    pub(super) intake: Intake,
-    /// How many bytes that had arrived when the end was decided are still to be read. What arrives later
-    /// crosses the close, and the client sends it again.
-    pub(super) unread_bytes: usize,
+    /// Whether the statements that have arrived by then are rejected, since the close would leave them without
+    /// an answer. Otherwise nothing that follows can be answered.
+    pub(super) rejects_arrived: bool,
 }
 
 impl Ending {
-    /// Ends the session after the messages that have been read, and those within `unread_bytes` that have
-    /// arrived. Their statements are rejected.
-    pub(super) fn rejecting(result: SessionResult, unread_bytes: usize) -> Self {
-        Self { result, intake: Intake::Rejecting, unread_bytes }
+    /// Ends the session after all messages that have arrived.
+    pub(super) fn after_arrived(result: SessionResult) -> Self {
+        Self { result, rejects_arrived: true }
     }
 
     /// Ends the session without any further message.
     pub(super) fn immediate(result: SessionResult) -> Self {
-        Self { result, intake: Intake::Closed, unread_bytes: 0 }
+        Self { result, rejects_arrived: false }
     }
 }
 
--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -22,9 +22,13 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// How often to check whether all RPCs are answered, and whether connections are pending at the listener.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// How many checks after the end sessions have to write the last responses. Checks are counted instead of
-/// time because a process that was paused across the end must still write its responses.
-const MAX_CHECKS_PAST_END: usize = 10;
+/// The process exits this long before SIGKILL at the latest, even if sessions are open.
+const EXIT_MARGIN: Duration = Duration::from_millis(50);
+/// How long sessions have after the end to answer what has arrived.
+const MAX_RUNNING_TIME_PAST_END: Duration = KILL_MARGIN.saturating_sub(EXIT_MARGIN);
+/// Of the time between two checks, at most this much counts as running time. The process was paused for the
+/// rest, and could not answer anything.
+const MAX_RUNNING_TIME_OF_CHECK: Duration = Duration::from_millis(50);
 
 /// The times of the steps of the shutdown.
 struct Schedule {
@@ -56,6 +60,30 @@
     }
 }
 
+/// The time that the process has run since the end of the schedule, without pauses.
+struct RunningTimePastEnd {
+    elapsed: Duration,
+    checked: Instant,
+}
+
+impl RunningTimePastEnd {
+    fn new() -> Self {
+        Self { elapsed: Duration::ZERO, checked: Instant::now() }
+    }
+
+    /// Adds the time since the last check, if the end has passed.
+    fn check(&mut self, schedule: &Schedule) {
+        let now = Instant::now();
+        let past_end = now.saturating_duration_since(schedule.end.max(self.checked));
+        self.elapsed += past_end.min(MAX_RUNNING_TIME_OF_CHECK);
+        self.checked = now;
+    }
+
+    fn is_over(&self) -> bool {
+        self.elapsed >= MAX_RUNNING_TIME_PAST_END
+    }
+}
+
 /// Closes the sessions that were open when the closing began, the oldest first.
 struct SessionCloser<'a> {
     clients: &'a ClientSessions,
@@ -97,7 +125,11 @@
 /// Serves the connected clients for as long as the platform allows, and closes their sessions gradually in
 /// the second half of that time. Closing them gradually lets the load of the routers that take the clients
 /// over rise slowly. Closing them late keeps that extra load as short as a restart allows, and a router that
-/// is being started at the same time is up by then. Returns when no session is left.
+/// is being started at the same time is up by then.
+///
+/// Returns when no session is left, or shortly before SIGKILL. Until then the sessions that are left answer
+/// what has arrived: an exit would leave it without an answer, and would reset connections with unread bytes,
+/// so that their clients could lose responses that are still in transit.
 pub async fn drain<T>(
     clients: &Rc<ClientSessions>,
     engine: &Engine,
@@ -109,10 +141,8 @@
     Timer::after(ACCEPT_AFTER_SIGTERM).await;
     let mut open_listener = Some(OpenListener { listener, accept_task });
     let mut closer = SessionCloser { clients, sessions: clients.session_ids(), closed: 0 };
-    let mut checks_past_end = 0;
-    // After the end, the only open sessions are those that have no pending RPC or whose clients do not read.
-    while clients.open_session_count() > 0 && checks_past_end < MAX_CHECKS_PAST_END || open_listener.is_some()
-    {
+    let mut past_end = RunningTimePastEnd::new();
+    while clients.open_session_count() > 0 && !past_end.is_over() || open_listener.is_some() {
         let can_close = |open: &mut OpenListener<T>| {
             !has_pending_connection(open.listener.get_ref()) || schedule.is_over()
         };
@@ -124,6 +154,6 @@
             clients.stop();
         }
         Timer::after(CHECK_INTERVAL).await;
-        checks_past_end += usize::from(schedule.is_over());
+        past_end.check(&schedule);
     }
 }
--- a/crates/router/src/message_buffer.rs
+++ b/crates/router/src/message_buffer.rs
@@ -89,6 +89,15 @@
         Ok(Some((message, length)))
     }
 
+    /// Removes and returns the first bytes that are stored together, or `None` if the buffer is empty.
+    pub fn take_chunk(&mut self) -> Option<Vec<u8>> {
+        let Chunk { mut bytes, start } = self.chunks.pop_front()?;
+        self.capacity -= bytes.capacity();
+        bytes.drain(..start);
+        self.length -= bytes.len();
+        Some(bytes)
+    }
+
     /// Removes all bytes and frees the memory.
     pub fn clear(&mut self) {
         *self = Self::default();
--- a/crates/router/src/pg.rs
+++ b/crates/router/src/pg.rs
@@ -4,18 +4,20 @@
 mod framing;
 mod frontend;
 mod response;
+mod skip;
 mod violation;
 
 pub use backend::{
     BackendMessage, Column, decode_backend_message, encode_empty_query_response, encode_error,
-    encode_ready_for_query, encode_result, encode_session_start,
+    encode_extended_query_error, encode_ready_for_query, encode_result, encode_session_start,
 };
 pub use framing::{Framing, MESSAGE_HEAD_BYTES};
 pub use frontend::{
-    CancelKey, FrontendMessage, StartupPacket, decode_frontend_message, decode_startup_packet, encode_query,
-    encode_startup, query_message,
+    CancelKey, FrontendKind, FrontendMessage, StartupPacket, decode_frontend_message, decode_startup_packet,
+    encode_query, encode_startup, query_message,
 };
 pub use response::{QueryResult, Response, ResponseReader};
+pub use skip::FrontendSkipper;
 pub use violation::ProtocolViolation;
 
 /// The result of a decoder: a message and its length in bytes, or `None` if the message is not complete yet.
--- a/crates/router/src/pg/backend.rs
+++ b/crates/router/src/pg/backend.rs
@@ -232,6 +232,11 @@
     encode_message(out, b'C', |out| encode_text(out, &result.tag));
 }
 
+/// Appends the error for a message of the extended query protocol.
+pub fn encode_extended_query_error(out: &mut Vec<u8>) {
+    encode_error(out, false, "0A000", "only simple queries are taken", None);
+}
+
 /// Appends an error, with a detail (field D) if there is one.
 pub fn encode_error(out: &mut Vec<u8>, fatal: bool, code: &str, message: &str, detail: Option<&str>) {
     let severity = if fatal { "FATAL" } else { "ERROR" };
--- a/crates/router/src/pg/framing.rs
+++ b/crates/router/src/pg/framing.rs
@@ -2,8 +2,8 @@
 
 use super::{Decoded, ProtocolViolation};
 
-const LENGTH_BYTES: usize = 4;
-const TYPE_BYTES: usize = 1;
+pub const LENGTH_BYTES: usize = 4;
+pub const TYPE_BYTES: usize = 1;
 
 /// How many bytes at the start of a message are enough to find its length and, where the decoders check an
 /// incomplete message, what they check.
--- a/crates/router/src/pg/frontend.rs
+++ b/crates/router/src/pg/frontend.rs
@@ -6,7 +6,7 @@
 use super::{Decoded, MAX_TEXT_MESSAGE_BYTES, ProtocolViolation};
 
 /// The longest message that a client may send: a statement with a value of 64 KiB in hex, plus its comment.
-const MAX_MESSAGE_BYTES: usize = 2 * 65_536 + MAX_TEXT_MESSAGE_BYTES;
+pub const MAX_MESSAGE_BYTES: usize = 2 * 65_536 + MAX_TEXT_MESSAGE_BYTES;
 /// The same limit for startup packets as in PostgreSQL.
 const MAX_STARTUP_BYTES: usize = 10_000;
 const MIN_STARTUP_BYTES: usize = 8;
@@ -44,6 +44,35 @@
     Terminate,
 }
 
+/// The kinds of messages from a client within its session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrontendKind {
+    /// A simple query.
+    Query,
+    /// A message of the extended query protocol.
+    ExtendedQuery,
+    /// Ends an extended query.
+    Sync,
+    /// Ends the session.
+    Terminate,
+}
+
+impl FrontendKind {
+    /// The kind of messages with this type byte.
+    ///
+    /// # Errors
+    /// Clients must not send messages of this type.
+    pub fn from_type(type_byte: u8) -> Result<Self, ProtocolViolation> {
+        match type_byte {
+            b'Q' => Ok(Self::Query),
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'F' | b'H' => Ok(Self::ExtendedQuery),
+            b'S' => Ok(Self::Sync),
+            b'X' => Ok(Self::Terminate),
+            other => Err(ProtocolViolation::UnexpectedType(char::from(other))),
+        }
+    }
+}
+
 /// Decodes the startup packet at the start of `bytes`.
 ///
 /// # Errors
@@ -70,22 +99,21 @@
 /// A message that clients must not send, or whose fields do not match its length.
 pub fn decode_frontend_message(bytes: &[u8]) -> Decoded<FrontendMessage> {
     let Some((mut body, taken)) = decode_message(bytes, max_length)? else { return Ok(None) };
-    let message = match body.message_type {
-        'Q' => {
+    let message = match FrontendKind::from_type(bytes[0])? {
+        FrontendKind::Query => {
             let text = body.zero_terminated()?.to_vec();
             body.expect_end()?;
             FrontendMessage::Query(text)
         }
-        'P' | 'B' | 'D' | 'E' | 'C' | 'F' | 'H' => FrontendMessage::ExtendedQuery,
-        'S' => FrontendMessage::Sync,
-        'X' => FrontendMessage::Terminate,
-        other => return Err(ProtocolViolation::UnexpectedType(other)),
+        FrontendKind::ExtendedQuery => FrontendMessage::ExtendedQuery,
+        FrontendKind::Sync => FrontendMessage::Sync,
+        FrontendKind::Terminate => FrontendMessage::Terminate,
     };
     Ok(Some((message, taken)))
 }
 
 fn max_length(message_type: u8) -> Option<usize> {
-    b"QPBDECFHSX".contains(&message_type).then_some(MAX_MESSAGE_BYTES)
+    FrontendKind::from_type(message_type).is_ok().then_some(MAX_MESSAGE_BYTES)
 }
 
 /// Appends the startup packet that opens a session.
--- a/crates/router/src/receive_buffer.rs
+++ b/crates/router/src/receive_buffer.rs
@@ -4,7 +4,7 @@
 //! not read ahead wait in the kernel, which reports their number, so that their arrival times are known too.
 
 use std::collections::VecDeque;
-use std::io::{self, Read};
+use std::io;
 use std::net::TcpStream;
 use std::time::Instant;
 
@@ -14,7 +14,7 @@
 use crate::connection_memory::ConnectionMemory;
 use crate::message_buffer::MessageBuffer;
 use crate::pg::{Decoded, Framing, ProtocolViolation};
-use crate::socket::{self, READ_CHUNK_BYTES};
+use crate::socket;
 use crate::socket_liveness::unread_bytes;
 
 /// How many arrival times are stored. Beyond it the oldest is dropped, and its bytes count as arrived with
@@ -117,19 +117,6 @@
         socket::read_chunk(stream, |bytes| self.append(bytes)).await?
     }
 
-    /// Reads at most `max_bytes` of those that have arrived, without waiting, and returns their number.
-    ///
-    /// # Errors
-    /// As [`Self::receive`], or nothing has arrived.
-    pub fn receive_arrived(&mut self, stream: &TcpStream, max_bytes: usize) -> Result<usize, ReceiveError> {
-        let mut chunk = [0; READ_CHUNK_BYTES];
-        let limit = max_bytes.min(READ_CHUNK_BYTES);
-        let mut stream = stream;
-        let count = socket::retry_interrupted(|| stream.read(&mut chunk[..limit]))?;
-        self.append(&chunk[..count])?;
-        Ok(count)
-    }
-
     /// Adds bytes that were read from the stream; none if the client has closed its side.
     fn append(&mut self, bytes: &[u8]) -> Result<(), ReceiveError> {
         if bytes.is_empty() {
@@ -159,6 +146,15 @@
         }
     }
 
+    /// Removes and returns the first undecoded bytes that are stored together, without decoding them.
+    pub fn take_chunk(&mut self) -> Option<Vec<u8>> {
+        let chunk = self.undecoded.take_chunk()?;
+        self.decoded_bytes += chunk.len() as u64;
+        // Shrinking cannot fail.
+        _ = self.account();
+        Some(chunk)
+    }
+
     /// Discards all bytes and frees the buffer.
     pub fn clear(&mut self) {
         self.undecoded.clear();
--- a/crates/router/src/request_pipeline.rs
+++ b/crates/router/src/request_pipeline.rs
@@ -17,6 +17,9 @@
 /// unanswered one, which the later responses wait for.
 const MAX_UNWRITTEN_RESPONSE_BYTES: usize = 64 * 1024;
 
+/// Short responses are written together, up to this many bytes.
+const MAX_JOINED_RESPONSE_BYTES: usize = 16 * 1024;
+
 /// What a statement reads or writes; determines which earlier statements it must wait for.
 #[derive(Clone, Copy, Debug)]
 pub struct StatementScope {
@@ -55,6 +58,14 @@
     pub memory: Reservation,
 }
 
+impl EncodedResponse {
+    /// Adds the response to the next request, to be written together.
+    fn append(&mut self, next: Self) {
+        self.bytes.extend(next.bytes);
+        self.memory.absorb(next.memory);
+    }
+}
+
 /// Runs a statement and returns its response. Dropping it ends the statement.
 pub type ResponseFuture = Pin<Box<dyn Future<Output = EncodedResponse>>>;
 
@@ -108,12 +119,25 @@
         self.0.push_back(Request::Answered(response));
     }
 
-    /// Removes and returns the response to the oldest request, if that has been answered.
-    pub fn pop_response(&mut self) -> Option<EncodedResponse> {
+    /// Removes the responses to the oldest requests that have been answered, as many as are written together,
+    /// and returns their bytes. Returns `None` if the oldest request has not been answered.
+    pub fn pop_responses(&mut self) -> Option<EncodedResponse> {
+        let mut responses = self.pop_response(usize::MAX)?;
+        while let Some(next) =
+            self.pop_response(MAX_JOINED_RESPONSE_BYTES.saturating_sub(responses.bytes.len()))
+        {
+            responses.append(next);
+        }
+        Some(responses)
+    }
+
+    /// Removes and returns the response to the oldest request, if that has been answered with at most
+    /// `max_bytes`.
+    fn pop_response(&mut self, max_bytes: usize) -> Option<EncodedResponse> {
         match self.0.pop_front()? {
-            Request::Answered(response) => Some(response),
-            unanswered => {
-                self.0.push_front(unanswered);
+            Request::Answered(response) if response.bytes.len() <= max_bytes => Some(response),
+            other => {
+                self.0.push_front(other);
                 None
             }
         }
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -22,6 +22,26 @@
     stream.read_with(read).await
 }
 
+/// The most bytes that [`read_arrived`] reads.
+const ARRIVED_CHUNK_BYTES: usize = 16 * 1024;
+
+/// Reads bytes that have arrived, up to `max_bytes`, and passes them to `receive`. Returns their number, which
+/// is zero if the peer has shut down its side.
+///
+/// # Errors
+/// The connection is broken, or nothing has arrived.
+pub fn read_arrived(
+    mut stream: &TcpStream,
+    max_bytes: usize,
+    receive: impl FnOnce(&[u8]),
+) -> io::Result<usize> {
+    let mut chunk = [0; ARRIVED_CHUNK_BYTES];
+    let limit = max_bytes.min(chunk.len());
+    let count = retry_interrupted(|| stream.read(&mut chunk[..limit]))?;
+    receive(&chunk[..count]);
+    Ok(count)
+}
+
 /// Waits for bytes, reads them into `chunk`, and returns their number; zero if the peer has shut down its
 /// side.
 ///
--- a/crates/router/tests/input_cost.rs
+++ b/crates/router/tests/input_cost.rs
@@ -7,6 +7,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use async_io::Async;
 use futures_lite::future;
 use quillpoint::host::EndpointUpdate;
 use quillpoint_router::budget::SharedBudget;
@@ -137,7 +138,7 @@
 struct Receiver {
     buffer: ReceiveBuffer,
     sender: TcpStream,
-    receiver: TcpStream,
+    receiver: Async<TcpStream>,
 }
 
 impl Receiver {
@@ -145,7 +146,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let sender = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         sender.set_nodelay(true).unwrap();
-        let receiver = listener.accept().unwrap().0;
+        let receiver = Async::new(listener.accept().unwrap().0).unwrap();
         let budget = SharedBudget::new(192 << 20);
         let buffer = ReceiveBuffer::new(ConnectionMemory::new(&budget, Peer::Client, 0));
         Self { buffer, sender, receiver }
@@ -163,9 +164,9 @@
 
     fn receive_undecoded(&mut self, piece: &[u8]) {
         self.sender.write_all(piece).unwrap();
-        let mut missing = piece.len();
-        while missing > 0 {
-            missing -= self.buffer.receive_arrived(&self.receiver, missing).unwrap();
+        let expected = self.buffer.len() + piece.len();
+        while self.buffer.len() < expected {
+            future::block_on(self.buffer.receive(&self.receiver)).unwrap();
         }
     }
 
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -42,6 +42,10 @@
         let text = configuration(discovery.address, &list, SOCKETS)
             .replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{memory_mb}"#));
         let process = RouterProcess::start(&text);
+        // What the first RPC makes the process hold for good belongs to no session.
+        let mut client = process.client();
+        assert!(matches!(client.rpc("look", 9000), Reply::Value(_)));
+        client.disconnect();
         std::thread::sleep(SETTLE_TIME);
         Self { process, nodes, _discovery: discovery }
     }
--- a/crates/router/tests/sockets/client_input.rs
+++ b/crates/router/tests/sockets/client_input.rs
@@ -101,6 +101,21 @@
     assert_eq!((client.next_message(), replica.queries().len()), (None, 0));
 }
 
+/// Guards against answering only the first 64 KiB of the statements that arrived behind the one that ends the
+/// session.
+#[test]
+fn all_statements_behind_too_many_unusable_ones_are_rejected_however_many() {
+    const STATEMENTS: usize = 3000;
+    let (_, _, router, _discovery) = start_pair();
+    let mut client = router.client();
+    let unusable = (0..8).map(|_| "SELECT 1".to_string());
+    let texts: Vec<String> = unusable.chain((0..STATEMENTS).map(|_| statement("look", 9000))).collect();
+    client.send_queries(&texts);
+    assert!((0..8).all(|_| client.reply() == error("42601")));
+    assert!((0..STATEMENTS).all(|_| client.reply() == no_capacity()), "each has an answer");
+    assert_eq!((client.reply(), client.next_message()), (error("08P01"), None));
+}
+
 /// Guards against dropping statements that are in progress when invalid bytes arrive behind them.
 #[test]
 fn statements_before_invalid_bytes_are_answered() {
--- a/crates/router/tests/sockets/limits.rs
+++ b/crates/router/tests/sockets/limits.rs
@@ -109,6 +109,28 @@
     assert_eq!((client.next_message(), replica.queries().len()), (None, forwarded + 50));
 }
 
+/// Guards against leaving the statements behind a message without an answer for which there was no memory: they
+/// had arrived whole.
+#[test]
+fn statements_behind_a_message_without_memory_are_rejected() {
+    let (_, replica, router, _) = start_pair_with(64, r#""memory_mb":192"#, r#""memory_mb":1"#);
+    let long = format!("{} -- {}", statement("look", 9000), "x".repeat(130_000));
+    let mut unfinished = router.client();
+    assert_eq!(unfinished.rpc("look", 9000), ok());
+    unfinished.send(&pg::query_message(long.as_bytes())[..120_000]);
+    let mut client = router.client();
+    // The router has read the unfinished message by the time it has answered these.
+    assert!((0..50).all(|_| client.rpc("look", 9000) == ok()));
+    let forwarded = replica.queries().len();
+    let short = (0..20).map(|_| statement("look", 9000));
+    let texts: Vec<String> = std::iter::once(long).chain(short).collect();
+    client.send_queries(&texts);
+    let replies: Vec<Reply> = texts.iter().map(|_| client.reply()).collect();
+    assert!(replies.iter().all(|reply| *reply == no_capacity()), "each has an answer: {replies:?}");
+    assert_eq!(client.reply(), Reply::Error("53200".into(), None));
+    assert_eq!((client.next_message(), replica.queries().len()), (None, forwarded));
+}
+
 /// Guards against disconnecting a client on a slow connection that reads steadily. A long answer was once cut
 /// off when it took longer to write than the longest deadline.
 #[test]
--- a/crates/router/tests/sockets/shutdown.rs
+++ b/crates/router/tests/sockets/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown on SIGTERM, and configuration reload on SIGHUP.
 
 use std::io::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quillpoint_router::pg;
 
@@ -139,6 +139,108 @@
     assert!(incomplete.iter().all(|rest| *rest == 0), "answers to parts of a batch: {incomplete:?}");
 }
 
+/// What was written whole this long before its connection's end has not crossed it.
+const CROSSING_TIME: Duration = Duration::from_millis(250);
+/// When the platform sends SIGKILL, at the earliest, to a router whose longest deadline is over 3 s.
+const KILL_AFTER: Duration = Duration::from_millis(3700);
+
+fn statements(count: usize, wait_ms: u64) -> Vec<String> {
+    (0..count).map(|_| statement("look", wait_ms)).collect()
+}
+
+/// Reads replies until the connection is closed, and returns their number.
+fn count_replies(client: &mut Client) -> usize {
+    std::iter::from_fn(|| Some(client.reply()).filter(|reply| *reply != Reply::Closed)).count()
+}
+
+/// Guards against a router that exits while many sessions still have statements to reject. It gave them 50 ms in
+/// all, and thousands of statements that it had read, or that had arrived, were not answered.
+#[test]
+fn stopping_router_answers_many_clients_that_send_many_statements_at_once() {
+    const CLIENTS: usize = 150;
+    const BATCH: usize = 100;
+    let (_, replica, mut router, _) = start_pair_with(1000, LOOK, SHORT_DEADLINE_LOOK);
+    replica.set_behavior(NodeBehavior::Delay(30));
+    let address = router.address;
+    let load: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut client = Client::connect_and_query(address, "");
+                assert_eq!(client.reply(), Reply::Empty);
+                loop {
+                    let sent = Instant::now();
+                    client.send_queries(&statements(BATCH, 500));
+                    let answered = (0..BATCH).take_while(|_| client.reply() != Reply::Closed).count();
+                    if answered < BATCH {
+                        break (BATCH - answered, sent.elapsed());
+                    }
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(1));
+    router.signal("-TERM");
+    let stopped = Instant::now();
+    assert!(router.wait_for_exit().success());
+    assert!(stopped.elapsed() < KILL_AFTER, "the router exited only after {:?}", stopped.elapsed());
+    let unanswered: Vec<(usize, Duration)> = load.into_iter().map(|client| client.join().unwrap()).collect();
+    let lost: Vec<_> = unanswered.iter().filter(|(_, age)| *age > CROSSING_TIME).collect();
+    assert!(lost.is_empty(), "statements without an answer, and their ages: {lost:?}");
+}
+
+/// Guards against rejecting only the first 64 KiB of what has arrived when the router ends, also while a node
+/// does not answer until then.
+#[test]
+fn stopping_router_answers_all_that_has_arrived_however_much() {
+    const STATEMENTS: usize = 3000;
+    let (_, replica, mut router, _) = start_pair();
+    let mut client = router.client();
+    assert_eq!(client.rpc("look", 9000), ok());
+    replica.set_behavior(NodeBehavior::Hang);
+    client.send_queries(&statements(STATEMENTS, 9000));
+    replica.await_queries(2);
+    router.signal("-TERM");
+    assert_eq!(count_replies(&mut client), STATEMENTS);
+    assert!(router.wait_for_exit().success());
+}
+
+/// Guards against answers that are lost because the process exits with unread bytes, which resets the
+/// connection of a client that has not read them yet.
+#[test]
+fn client_that_reads_late_receives_all_answers_of_a_router_that_has_exited() {
+    const STATEMENTS: usize = 1000;
+    let (_, replica, mut router, _) = start_pair();
+    let mut client = router.client();
+    assert_eq!(client.rpc("look", 9000), ok());
+    replica.set_behavior(NodeBehavior::Hang);
+    client.send_queries(&statements(STATEMENTS, 9000));
+    replica.await_queries(2);
+    router.signal("-TERM");
+    assert!(router.wait_for_exit().success());
+    assert_eq!(count_replies(&mut client), STATEMENTS);
+}
+
+/// Guards against a router that exits without answers after it was paused across the end of its shutdown.
+#[test]
+fn stopping_router_that_was_paused_answers_all_that_has_arrived() {
+    const CLIENTS: usize = 100;
+    const BATCH: usize = 100;
+    let (_, replica, mut router, _) = start_pair_with(1000, LOOK, SHORT_DEADLINE_LOOK);
+    replica.set_behavior(NodeBehavior::Delay(30));
+    let mut clients: Vec<Client> =
+        (0..CLIENTS).map(|_| Client::connect_and_query(router.address, "")).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.reply(), Reply::Empty));
+    router.signal("-TERM");
+    router.await_log_line("listener closed");
+    router.signal("-STOP");
+    clients.iter_mut().for_each(|client| client.send_queries(&statements(BATCH, 500)));
+    std::thread::sleep(KILL_AFTER);
+    router.signal("-CONT");
+    let answered: Vec<usize> = clients.iter_mut().map(count_replies).collect();
+    assert!(router.wait_for_exit().success());
+    assert!(answered.iter().all(|count| *count == BATCH), "answers to {BATCH} statements: {answered:?}");
+}
+
 /// Guards against a configuration reload that keeps polling the old discovery address, or that ends RPCs or
 /// sessions, also while the router drains.
 #[test]
