Rejections at a session's end are written in smaller parts while memory is short

Cause, by reading: the shortest statement is a twentieth as long as its rejection, and the rejections of 16 KiB were made before any was written. Clients that do not read could each make the router hold some 300 kB at a session's end.

The tests of the shutdown share their beginning.

--- a/crates/router/src/client/rejection.rs
+++ b/crates/router/src/client/rejection.rs
@@ -28,7 +28,10 @@
 /// How long the rest of a message may be in transit that its client has written whole.
 const MAX_TRANSIT_TIME: Duration = Duration::from_millis(100);
 /// Rejections are written once they have this many bytes; then other sessions get a turn.
-const WRITE_BYTES: usize = 64 * 1024;
+const WRITE_BYTES: usize = 16 * 1024;
+/// While memory is short, the rejections of this many bytes are written at once: the shortest statements are a
+/// twentieth as long as their rejections.
+const READ_BYTES_WITHOUT_MEMORY: usize = 256;
 
 /// Encodes the responses to messages that are skipped.
 struct Rejections {
@@ -126,27 +129,27 @@
         let mut arrived = unread_bytes(self.stream.get_ref()) as usize;
         while let Some(chunk) = self.buffer.take_chunk() {
             rejections.add(&chunk);
-            self.write_rejections(rejections, WRITE_BYTES).await?;
+            if rejections.unwritten.len() >= WRITE_BYTES {
+                self.write_rejections(rejections).await?;
+            }
         }
         while arrived > 0 && !rejections.has_ended {
-            match socket::read_arrived(self.stream.get_ref(), arrived, |bytes| rejections.add(bytes))? {
+            let is_memory_short = self.clients.takes_one_at_a_time();
+            let max_bytes = if is_memory_short { arrived.min(READ_BYTES_WITHOUT_MEMORY) } else { arrived };
+            match socket::read_arrived(self.stream.get_ref(), max_bytes, |bytes| rejections.add(bytes))? {
                 0 => return Err(SessionEnd::ClientDisconnected),
                 count => arrived -= count,
             }
-            self.write_rejections(rejections, WRITE_BYTES).await?;
+            if is_memory_short || rejections.unwritten.len() >= WRITE_BYTES {
+                self.write_rejections(rejections).await?;
+                future::yield_now().await;
+            }
         }
-        self.write_rejections(rejections, 1).await
+        // Without a turn for others: the client sends more once it has read these, and nothing has arrived yet.
+        self.write_rejections(rejections).await
     }
 
-    /// Writes the rejections if they have at least `min_bytes`.
-    async fn write_rejections(&self, rejections: &mut Rejections, min_bytes: usize) -> SessionResult {
-        if rejections.unwritten.len() < min_bytes {
-            return Ok(());
-        }
-        self.write(std::mem::take(&mut rejections.unwritten)).await?;
-        if min_bytes > 1 {
-            future::yield_now().await;
-        }
-        Ok(())
+    async fn write_rejections(&self, rejections: &mut Rejections) -> SessionResult {
+        self.write(std::mem::take(&mut rejections.unwritten)).await
     }
 }
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -22,10 +22,7 @@
     stream.read_with(read).await
 }
 
-/// The most bytes that [`read_arrived`] reads.
-const ARRIVED_CHUNK_BYTES: usize = 16 * 1024;
-
-/// Reads bytes that have arrived, up to `max_bytes`, and passes them to `receive`. Returns their number, which
+/// Reads bytes that have arrived, up to `max_bytes` and [`READ_CHUNK_BYTES`], and passes them to `receive`. Returns their number, which
 /// is zero if the peer has shut down its side.
 ///
 /// # Errors
@@ -35,7 +32,7 @@
     max_bytes: usize,
     receive: impl FnOnce(&[u8]),
 ) -> io::Result<usize> {
-    let mut chunk = [0; ARRIVED_CHUNK_BYTES];
+    let mut chunk = [0; READ_CHUNK_BYTES];
     let limit = max_bytes.min(chunk.len());
     let count = retry_interrupted(|| stream.read(&mut chunk[..limit]))?;
     receive(&chunk[..count]);
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -231,3 +231,23 @@
     println!("own memory: {} kB", peak / 1024);
     assert!(peak < LOW_MEMORY_MB as usize * 1024 * 1024, "{peak} bytes");
 }
+
+/// Guards against rejections that take the router over its memory limit: the shortest statements are a twentieth
+/// as long.
+#[test]
+fn unread_rejections_stay_within_the_memory_limit() {
+    const STATEMENTS: usize = 60_000;
+    let router = TestRouter::start(LOW_MEMORY_MB, 2);
+    let mut clients = router.clients(CLIENTS);
+    // The first ones end the session; those behind are rejected.
+    let mut bytes: Vec<u8> = (0..8).flat_map(|_| pg::query_message(b"SELECT 1")).collect();
+    bytes.extend(pg::query_message(b"").repeat(STATEMENTS));
+    for client in &mut clients {
+        // What a client does not read at last blocks what it sends.
+        client.stream.set_nonblocking(true).unwrap();
+        _ = client.stream.write_all(&bytes);
+    }
+    let peak = router.peak_memory(4 * SETTLE_TIME);
+    println!("own memory: {} kB", peak / 1024);
+    assert!(peak < LOW_MEMORY_MB as usize * 1024 * 1024, "{peak} bytes");
+}
--- a/crates/router/tests/sockets/shutdown.rs
+++ b/crates/router/tests/sockets/shutdown.rs
@@ -188,18 +188,24 @@
     assert!(lost.is_empty(), "statements without an answer, and their ages: {lost:?}");
 }
 
-/// Guards against rejecting only the first 64 KiB of what has arrived when the router ends, also while a node
-/// does not answer until then.
-#[test]
-fn stopping_router_answers_all_that_has_arrived_however_much() {
-    const STATEMENTS: usize = 3000;
-    let (_, replica, mut router, _) = start_pair();
+/// Stops a router whose client has sent this many statements at once, while no node answers.
+fn stop_with_statements_at_a_hanging_node(count: usize) -> ((Node, Node), RouterProcess, Client) {
+    let (primary, replica, router, _) = start_pair();
     let mut client = router.client();
     assert_eq!(client.rpc("look", 9000), ok());
     replica.set_behavior(NodeBehavior::Hang);
-    client.send_queries(&statements(STATEMENTS, 9000));
+    client.send_queries(&statements(count, 9000));
     replica.await_queries(2);
     router.signal("-TERM");
+    ((primary, replica), router, client)
+}
+
+/// Guards against rejecting only the first 64 KiB of what has arrived when the router ends, also while a node
+/// does not answer until then.
+#[test]
+fn stopping_router_answers_all_that_has_arrived_however_much() {
+    const STATEMENTS: usize = 3000;
+    let (_nodes, mut router, mut client) = stop_with_statements_at_a_hanging_node(STATEMENTS);
     assert_eq!(count_replies(&mut client), STATEMENTS);
     assert!(router.wait_for_exit().success());
 }
@@ -209,13 +215,7 @@
 #[test]
 fn client_that_reads_late_receives_all_answers_of_a_router_that_has_exited() {
     const STATEMENTS: usize = 1000;
-    let (_, replica, mut router, _) = start_pair();
-    let mut client = router.client();
-    assert_eq!(client.rpc("look", 9000), ok());
-    replica.set_behavior(NodeBehavior::Hang);
-    client.send_queries(&statements(STATEMENTS, 9000));
-    replica.await_queries(2);
-    router.signal("-TERM");
+    let (_nodes, mut router, mut client) = stop_with_statements_at_a_hanging_node(STATEMENTS);
     assert!(router.wait_for_exit().success());
     assert_eq!(count_replies(&mut client), STATEMENTS);
 }
