Sessions: nothing is sent behind a part of an answer that was not read in time

What callers could see: a client that had stopped reading for too long and read on got an error in the midst of a value.

Cause: a response that is not read in time ended the session for the same reason as a message that does not arrive in time, and that reason has an error to send. A reason of its own has none.

Evidence: nothing_is_sent_behind_an_answer_that_is_cut_off failed before with 57014 behind 3,842,048 bytes of answers, and passes after. Failed tries of the test: with the system's own receive buffer all 16 MB fit; waits of 0.45 to 0.8 s were too short, 2.6 s too long.

--- a/crates/router/src/client/receive.rs
+++ b/crates/router/src/client/receive.rs
@@ -20,7 +20,7 @@
 pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Waits until `deadline` and returns [`SessionEnd::TimedOut`].
-pub(super) async fn timed_out<T>(deadline: Instant) -> Result<T, SessionEnd> {
+async fn timed_out<T>(deadline: Instant) -> Result<T, SessionEnd> {
     Timer::at(deadline).await;
     Err(SessionEnd::TimedOut)
 }
--- a/crates/router/src/client/response_writer.rs
+++ b/crates/router/src/client/response_writer.rs
@@ -4,13 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use quillpoint::host::Outcome;
 use quillpoint_memory_budget::{Category, MinimumRate, ReclaimAction, TimeoutScale, TransferProgress};
 
 use super::ClientSessions;
-use super::receive::timed_out;
 use super::session_end::{SessionEnd, SessionResult};
 use crate::budget::RESPONSE_BYTES;
 use crate::pg;
@@ -89,7 +88,10 @@
     while !remaining.is_empty() {
         let timeout_scale =
             if clients.is_memory_critical() { TimeoutScale::Reduced } else { TimeoutScale::Full };
-        let timeout = timed_out(started + progress.deadline(timeout_scale));
+        let timeout = async {
+            Timer::at(started + progress.deadline(timeout_scale)).await;
+            Err(SessionEnd::ResponseNotRead)
+        };
         let written = async { Ok(socket::write(&stream, remaining).await?) };
         let count = written.or(timeout).await?;
         if count == 0 {
--- a/crates/router/src/client/session_end.rs
+++ b/crates/router/src/client/session_end.rs
@@ -29,9 +29,13 @@
     /// In the regular way: the client has ended the session, or has only sent a cancel request.
     #[error("finished")]
     Finished,
-    /// A message did not arrive in time, or the client did not read a response in time.
+    /// A message did not arrive in time.
     #[error("a message did not arrive whole in time")]
     TimedOut,
+    /// The client did not read a response in time. Nothing may be sent behind the part that was written: a
+    /// client that reads on would take it for the rest.
+    #[error("a response was not read in time")]
+    ResponseNotRead,
     #[error("{0}")]
     OutOfMemory(#[from] ReservationRejected),
     #[error("too many statements in a row that cannot be used")]
@@ -69,6 +73,7 @@
             Self::Io(_)
             | Self::ClientDisconnected
             | Self::ClosedWhileIdle
+            | Self::ResponseNotRead
             | Self::RouterStopping
             | Self::Finished => None,
         }
--- a/crates/router/tests/sockets/limits.rs
+++ b/crates/router/tests/sockets/limits.rs
@@ -151,6 +151,34 @@
     }
 }
 
+/// Guards against an error behind a part of an answer, whose client had stopped reading for too long: a client
+/// that reads on would take it for the rest of the value.
+#[test]
+fn nothing_is_sent_behind_an_answer_that_is_cut_off() {
+    use socket2::{Domain, Socket, Type};
+    use std::io::Read;
+    let (primary, replica, router, _) = start_pair_with(64, "9000.0", "400.0");
+    // With a small receive buffer the answers do not fit into the kernel's buffers.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.connect(&router.address.into()).unwrap();
+    let mut client = Client::from_stream(socket.into());
+    assert_eq!(client.rpc("look", 400), ok());
+    [&primary, &replica].iter().for_each(|node| node.set_behavior(NodeBehavior::LargeValue(1_000_000)));
+    let all: Vec<u8> = (0..16).flat_map(|_| pg::query_message(statement("look", 400).as_bytes())).collect();
+    client.send(&all);
+    // Longer than a client may stop reading, which is 0.4 s from when the kernel's buffers are full, and not so
+    // long that an error behind the part would be given up too.
+    std::thread::sleep(std::time::Duration::from_millis(1000));
+    let mut received = Vec::new();
+    client.stream.read_to_end(&mut received).unwrap();
+    assert!(received.contains(&b'v'), "no part of an answer was received");
+    assert!(
+        !received.windows(5).any(|code| code == b"57014"),
+        "an error was sent behind a part of an answer"
+    );
+}
+
 /// Guards against pending statements that exceed the memory budget, and against memory that is not released.
 #[test]
 fn statements_beyond_the_memory_budget_are_rejected() {
